--- /dev/null
+++ b/src/finchswitch/accord/document.py
@@ -0,0 +1,89 @@
+"""A part's document, and the short form in which an owner sends the next one.
+
+The ballot stands beside the document, not in it: the same document is accepted again under a later ballot
+when an owner falls. ``shrink`` gives the difference from a base that the acceptor may hold; ``grow`` applies
+it and refuses any other base. ``step`` counts every commit; ``generation`` counts those that changed the body,
+so that a change of the group does not make an operator's base stale.
+"""
+
+import hashlib
+import json
+from typing import Any
+
+from finchswitch.constants import CREED_PART, PARTS, RECENT_MOST
+from finchswitch.creed import apply_edits, edits_between
+from finchswitch.mishap import Mishap, MishapKind
+
+__all__ = [
+    "Ballot",
+    "Document",
+    "digest_of",
+    "founding_document",
+    "grow",
+    "part_names",
+    "part_of",
+    "shrink",
+    "succeed",
+]
+
+Ballot = tuple[int, str]
+Document = dict[str, Any]
+
+
+def part_names() -> list[str]:
+    return [CREED_PART, *(f"part-{at}" for at in range(PARTS))]
+
+
+def part_of(service: str) -> str:
+    """The part that a service's ledgers and fences live in, by hash of its name.
+
+    >>> part_of("rulings") == part_of("rulings")
+    True
+    """
+    digest = hashlib.sha256(service.encode()).digest()
+    return f"part-{int.from_bytes(digest[:4], 'big') % PARTS}"
+
+
+def founding_document(fleet: str, part: str, group: list[str]) -> Document:
+    return {
+        "fleet": fleet,
+        "part": part,
+        "step": 0,
+        "generation": 0,
+        "group": sorted(group),
+        "former": sorted(group),
+        "body": {},
+        "recent": [],
+    }
+
+
+def succeed(document: Document, body: Document, change: list[Any] | None, group: list[str]) -> Document:
+    """The next step of a document."""
+    recent = [*document["recent"], change][-RECENT_MOST:] if change else document["recent"]
+    generation = document["generation"] + (1 if body != document["body"] or change else 0)
+    following = {**document, "step": document["step"] + 1, "generation": generation, "body": body}
+    return {**following, "recent": recent, "group": sorted(group), "former": document["group"]}
+
+
+def shrink(base: Document, following: Document) -> Document:
+    rest = {name: value for name, value in following.items() if name != "body"}
+    return {"base": base["step"], "rest": rest, "edits": edits_between(base["body"], following["body"])}
+
+
+def grow(base: Document, delta: Document) -> Document:
+    """The document that a delta leads to.
+
+    >>> old = founding_document("f", "creed", ["a", "b", "c"])
+    >>> new = succeed(old, {"runners": {"r": {}}}, ["c1", "d", 1], ["a", "b", "c"])
+    >>> grow(old, shrink(old, new)) == new
+    True
+    """
+    if delta["base"] != base["step"]:
+        raise Mishap(MishapKind.STALE, "grow", base["part"], f"base {delta['base']} is not held")
+    body = apply_edits(base["body"], delta["edits"]).unwrap() if delta["edits"] else base["body"]
+    return {**delta["rest"], "body": body}
+
+
+def digest_of(content: Any) -> str:
+    text = json.dumps(content, sort_keys=True, separators=(",", ":"))
+    return hashlib.sha256(text.encode()).hexdigest()[:16]
--- /dev/null
+++ b/src/finchswitch/accord/register.py
@@ -0,0 +1,190 @@
+"""The owner's side of one part: winning a ballot, taking up what was open, committing the next generation.
+
+``stand`` prepares at a majority, takes the document with the highest ballot and generation found, and has it
+accepted again under the new ballot. ``commit`` then has generation n+1 accepted. A commit that finds no
+majority leaves its fate open, so the register falls back to idle and must stand again before it speaks.
+While a group changes, both the former and the new group must give a majority.
+"""
+
+from enum import Enum
+from typing import Any, Protocol
+
+import anyio
+
+from finchswitch.accord.acceptor import read_ballot
+from finchswitch.accord.document import Ballot, Document, shrink
+from finchswitch.charts import Walker, load_chart
+from finchswitch.constants import ACCEPT_WAIT_MS, PREPARE_WAIT_MS
+from finchswitch.logs import prefix
+from finchswitch.mishap import Mishap, MishapKind
+from finchswitch.wire import Message
+
+__all__ = ["OwnState", "Register", "Voters"]
+
+_log = prefix("accord")
+
+
+class OwnState(Enum):
+    IDLE = "idle"
+    STANDING = "standing"
+    RECLAIMING = "reclaiming"
+    OWNING = "owning"
+
+
+class OwnEvent(Enum):
+    STAND = "stand"
+    ELECTED = "elected"
+    RECLAIMED = "reclaimed"
+    OUTVOTED = "outvoted"
+
+
+_CHART = load_chart("owner", OwnState, OwnEvent)
+
+
+class Voters(Protocol):
+    async def vote(self, store: str, kind: str, body: Message, waitMs: float) -> Message: ...
+
+    def later(self, store: str, kind: str, body: Message, waitMs: float, back: Any) -> None:
+        """Ask in the background; ``back`` is a memory stream that gets (store, answer or None)."""
+
+
+def majority(yes: set[str], *groups: list[str]) -> bool:
+    """Whether those who said yes are a majority of each group.
+
+    >>> majority({"a", "b"}, ["a", "b", "c"], ["a", "b", "d"])
+    True
+    >>> majority({"a", "c"}, ["a", "b", "c"], ["a", "b", "d"])
+    False
+    """
+    return all(2 * len(yes & set(group)) > len(group) for group in groups)
+
+
+class Register:
+    def __init__(self, part: str, store: str, voters: Voters) -> None:
+        self.part, self._store, self._voters = part, store, voters
+        self._walker = Walker(_CHART, part)
+        self._lock = anyio.Lock()
+        self.ballot: Ballot = (0, "")
+        self.highest = 0  # highest ballot number seen anywhere
+        self.document: Document | None = None
+
+    @property
+    def state(self) -> OwnState:
+        return self._walker.state
+
+    def owns(self) -> bool:
+        return self._walker.state is OwnState.OWNING
+
+    def step_down(self, reason: str) -> None:
+        if self._walker.can(OwnEvent.OUTVOTED):
+            _log.info("No longer owner of {}. {}", self.part, reason)
+            self._walker.take(OwnEvent.OUTVOTED)
+
+    async def stand(self, known: Document) -> bool:
+        """Try to become the owner, starting from a document this store holds."""
+        async with self._lock:
+            if not self._walker.can(OwnEvent.STAND):
+                return False
+            self._walker.take(OwnEvent.STAND)
+            self.highest += 1
+            self.ballot = (self.highest, self._store)
+            found = await self._elect(known)
+            if found is None:
+                self.step_down("No majority for a ballot.")
+                return False
+            self._walker.take(OwnEvent.ELECTED)
+            if self._store not in found["group"] or not await self._accept(found, None):
+                self.step_down("What was found could not be accepted again.")
+                return False
+            self.document = found
+            self._walker.take(OwnEvent.RECLAIMED)
+            _log.info("Owner of {} at generation {} by ballot {}.", self.part, found["generation"], self.ballot)
+            return True
+
+    async def commit(self, base: Document, following: Document) -> None:
+        """Have the next generation accepted, or raise: REFUSED is surely not taken, LOST is open."""
+        async with self._lock:
+            if not self.owns() or self.document is not base:
+                raise Mishap(MishapKind.REFUSED, "commit", self.part, "not the owner of that base")
+            if not await self._accept(following, base):
+                self.step_down("A commit found no majority.")
+                raise Mishap(MishapKind.LOST, "commit", self.part, "no majority accepted in time")
+            if not self.owns():
+                raise Mishap(MishapKind.LOST, "commit", self.part, "outvoted meanwhile")
+            self.document = following
+
+    async def check(self) -> bool:
+        """Whether a majority still holds this owner's ballot as the highest promised."""
+        document, ballot = self.document, self.ballot
+        if not self.owns() or document is None:
+            return False
+        asked, yes = sorted({*document["group"], *document["former"]}), set[str]()
+        send, receive = anyio.create_memory_object_stream[tuple[str, Message | None]](64)
+        for store in asked:
+            self._voters.later(store, "vote.check", {"part": self.part, "ballot": ballot}, PREPARE_WAIT_MS, send)
+        with anyio.move_on_after(PREPARE_WAIT_MS / 1000):
+            for _ in asked:
+                store, answer = await receive.receive()
+                if answer is not None and answer["yes"] is True:
+                    yes.add(store)
+                if majority(yes, document["group"], document["former"]):
+                    return self.owns() and self.ballot == ballot
+        return False
+
+    async def _elect(self, known: Document) -> Document | None:
+        body = {"part": self.part, "ballot": self.ballot}
+        best, bestBallot = known, (0, "")
+        yes: set[str] = set()
+        asked: set[str] = set()
+        answered = 0
+        send, receive = anyio.create_memory_object_stream[tuple[str, Message | None]](64)
+        with anyio.move_on_after(PREPARE_WAIT_MS / 1000):
+            while self._store not in yes or not majority(yes, best["group"], best["former"]):
+                for store in sorted({*best["group"], *best["former"]} - asked):
+                    asked.add(store)
+                    self._voters.later(store, "vote.prepare", body, PREPARE_WAIT_MS, send)
+                if answered == len(asked):
+                    return None
+                store, answer = await receive.receive()
+                answered += 1
+                if answer is None:
+                    continue
+                self.highest = max(self.highest, read_ballot(answer["promised"])[0])
+                if answer["yes"] is not True:
+                    return None
+                yes.add(store)
+                held, heldBallot = answer["document"], read_ballot(answer["ballot"])
+                if (heldBallot, held["step"]) >= (bestBallot, best["step"]):
+                    best, bestBallot = held, heldBallot
+            return best
+        return None
+
+    async def _accept(self, document: Document, base: Document | None) -> bool:
+        whole: Message = {"part": self.part, "ballot": self.ballot, "document": document}
+        body = whole
+        if base is not None:
+            body = {"part": self.part, "ballot": self.ballot, "delta": shrink(base, document)}
+        yes: set[str] = set()
+        asked = sorted({*document["group"], *document["former"]})
+        send, receive = anyio.create_memory_object_stream[tuple[str, Message | None]](64)
+        for store in asked:
+            self._voters.later(store, "vote.accept", body, ACCEPT_WAIT_MS, send)
+        open_votes = len(asked)
+        with anyio.move_on_after(ACCEPT_WAIT_MS / 1000):
+            while not majority(yes, document["group"], document["former"]):
+                if open_votes == 0:
+                    return False
+                store, answer = await receive.receive()
+                open_votes -= 1
+                if answer is None:
+                    continue
+                self.highest = max(self.highest, read_ballot(answer["promised"])[0])
+                if answer["yes"] is True:
+                    yes.add(store)
+                elif answer["lacks"] is True:
+                    open_votes += 1
+                    self._voters.later(store, "vote.accept", whole, ACCEPT_WAIT_MS, send)
+                else:
+                    return False
+            return True
+        return False
--- /dev/null
+++ b/src/finchswitch/accord/store.py
@@ -0,0 +1,120 @@
+"""A control node's store: its identity, its fleet, and one acceptor a part, all in one data folder.
+
+Anything torn or unreadable in it means that the store no longer knows what it promised. Then all of it is put
+aside and a new, empty store takes its place, under a new identity, and has no vote until it is swapped in.
+"""
+
+from enum import Enum
+
+from finchswitch.accord.acceptor import Acceptor
+from finchswitch.accord.document import digest_of, founding_document, part_names
+from finchswitch.charts import Walker, load_chart
+from finchswitch.logs import prefix
+from finchswitch.mishap import Mishap, MishapKind
+from finchswitch.shelf import Disk, Shelf
+from finchswitch.wire import World
+
+__all__ = ["Store", "StoreState", "fleet_of"]
+
+_log = prefix("accord")
+
+
+class StoreState(Enum):
+    EMPTY = "empty"
+    SPARE = "spare"
+    VOTING = "voting"
+
+
+class StoreEvent(Enum):
+    FOUNDED = "founded"
+    LEARNED = "learned"
+    SWAPPED_IN = "swapped-in"
+    SWAPPED_OUT = "swapped-out"
+
+
+_CHART = load_chart("store", StoreState, StoreEvent)
+
+
+def fleet_of(founders: list[str]) -> str:
+    """The fleet's id, the same for all who found it together.
+
+    >>> fleet_of(["b", "a"]) == fleet_of(["a", "b"])
+    True
+    """
+    return digest_of(sorted(founders))
+
+
+class Store:
+    def __init__(self, world: World, disk: Disk, name: str) -> None:
+        self._world, self._disk, self._name = world, disk, name
+        self._shelf = Shelf(disk, "store")
+        self._walker = Walker(_CHART, name)
+        self.store, self.fleet, self.founders = "", "", list[str]()
+        self.acceptors: dict[str, Acceptor] = {}
+        try:
+            self._open()
+        except Mishap as mishap:
+            _log.error("Store is not to be trusted and starts empty. {}", mishap)
+            self._start_empty()
+
+    @property
+    def state(self) -> StoreState:
+        return self._walker.state
+
+    def _open(self) -> None:
+        kept = self._shelf.newest()
+        if kept is None:
+            if any(self._disk.names(part) for part in part_names()):
+                raise Mishap(MishapKind.BROKEN, "open", self._name, "parts without a store")
+            self._start_empty()
+            return
+        self.store, self.fleet, self.founders = kept["store"], kept["fleet"], kept["founders"]
+        self._open_parts()
+        if self.fleet:
+            voting = any(each.votes() for each in self.acceptors.values())
+            self._walker.take(StoreEvent.FOUNDED if voting else StoreEvent.LEARNED)
+            _log.info("Store {} of fleet {} opened, {}.", self.store, self.fleet, self.state.value)
+
+    def _start_empty(self) -> None:
+        for folder in [*part_names(), "store"]:
+            Shelf(self._disk, folder).clear()
+        self._shelf = Shelf(self._disk, "store")
+        self.store, self.fleet, self.founders = f"{self._name}-{self._world.chance.randbytes(6).hex()}", "", []
+        self._open_parts()
+        self._write()
+        _log.info("Empty store {}.", self.store)
+
+    def _open_parts(self) -> None:
+        self.acceptors = {
+            part: Acceptor(self._world, self.store, part, Shelf(self._disk, part)) for part in part_names()
+        }
+
+    def _write(self) -> None:
+        self._shelf.put({"store": self.store, "fleet": self.fleet, "founders": self.founders})
+
+    def found(self, founders: list[str]) -> None:
+        """Become a founder: the founding documents first, then the fleet's id."""
+        fleet = fleet_of(founders)
+        for part, acceptor in self.acceptors.items():
+            if acceptor.document is None:
+                acceptor.adopt(founding_document(fleet, part, founders))
+        self.fleet, self.founders = fleet, sorted(founders)
+        self._write()
+        self._walker.take(StoreEvent.FOUNDED)
+        _log.info("Founded fleet {} with {}.", fleet, ", ".join(self.founders))
+
+    def join(self, fleet: str, founders: list[str]) -> None:
+        """Belong to a fleet that others founded, without a vote."""
+        self.fleet, self.founders = fleet, founders
+        self._write()
+        self._walker.take(StoreEvent.LEARNED)
+        _log.info("Joined fleet {} as a spare.", fleet)
+
+    def note_votes(self) -> None:
+        """Follow what the documents say of this store's vote."""
+        if self.state is StoreState.SPARE and any(each.votes() for each in self.acceptors.values()):
+            self._walker.take(StoreEvent.SWAPPED_IN)
+            _log.info("Store {} has a vote now.", self.store)
+        elif self.state is StoreState.VOTING and not any(each.votes() for each in self.acceptors.values()):
+            self._walker.take(StoreEvent.SWAPPED_OUT)
+            _log.info("Store {} has no vote any more.", self.store)
--- /dev/null
+++ b/src/finchswitch/accord/tending.py
@@ -0,0 +1,107 @@
+"""Tending the parts: standing for those without an owner, and giving a silent member's place to a spare.
+
+A node stands only if it sees a majority of the part's group and is the first of those it sees in the part's own
+order, so that rivals are rare. A swap changes one member, and only under a ballot whose owner has already had a
+document accepted.
+"""
+
+import hashlib
+from typing import TYPE_CHECKING
+
+from finchswitch.accord.document import Document, succeed
+from finchswitch.accord.store import StoreState
+from finchswitch.constants import BEAT_MS, GROUP, PREPARE_WAIT_MS, REPLACE_AFTER_MS, SESSION_SILENT_MS, STAND_PAUSE_MS
+from finchswitch.logs import prefix
+from finchswitch.mishap import Mishap
+
+if TYPE_CHECKING:
+    from finchswitch.accord.council import Council
+
+__all__ = ["tend_node", "tend_part"]
+
+_log = prefix("accord")
+
+
+def _order(part: str, stores: list[str]) -> list[str]:
+    return sorted(stores, key=lambda store: hashlib.sha256(f"{part} {store}".encode()).digest())
+
+
+async def tend_node(council: "Council") -> None:
+    """Age the sessions, found or join a fleet, and see which dark nodes are surely gone."""
+    while True:
+        nowMs = council.world.nowMs()
+        council.sessions.age(nowMs)
+        if not council.store.fleet:
+            _found_or_join(council, nowMs)
+        for each in council.sessions.own(nowMs):
+            if each["state"] == "dark" and each["ageMs"] > SESSION_SILENT_MS:
+                try:
+                    await council.book.ask(each["address"], "peer.who", {}, BEAT_MS)
+                except Mishap as mishap:
+                    if mishap.reason == "connection refused":
+                        council.sessions.refused(each["name"])
+        await council.world.sleep(BEAT_MS / 4)
+
+
+def _found_or_join(council: "Council", nowMs: float) -> None:
+    store, alive = council.store, council.kindred.alive(nowMs)
+    try:
+        for kin in alive:
+            if kin.fleet and store.store in kin.founders:
+                return store.found(kin.founders)
+            if kin.fleet:
+                return store.join(kin.fleet, kin.founders)
+        together = sorted({store.store, *(kin.store for kin in alive)})
+        if len(together) == GROUP and all(sorted(kin.sees) == together for kin in alive):
+            store.found(together)
+    except Mishap as mishap:
+        _log.error("Cannot found or join. {}", mishap)
+
+
+async def tend_part(council: "Council", part: str) -> None:
+    """One part's care, as a loop of its own."""
+    register, world = council.registers[part], council.world
+    while True:
+        await world.sleep(BEAT_MS / 4)
+        document = council.store.acceptors[part].document
+        if document is None or council.store.state is not StoreState.VOTING:
+            continue
+        try:
+            if register.owns():
+                await _swap_silent(council, part, world.nowMs())
+            elif _should_stand(council, part, document, world.nowMs()):
+                if await register.stand(document):
+                    council.announce(part)
+                else:
+                    await world.sleep(STAND_PAUSE_MS + world.chance.uniform(0, STAND_PAUSE_MS))
+        except Mishap as mishap:
+            register.step_down("A mishap.")
+            _log.warn("Tending {} met a mishap. {}", part, mishap)
+
+
+def _should_stand(council: "Council", part: str, document: Document, nowMs: float) -> bool:
+    if council.owner_of(part, nowMs)[0] or council.store.store not in document["group"]:
+        return False
+    seen = {council.store.store, *(kin.store for kin in council.kindred.alive(nowMs))}
+    here = [store for store in _order(part, document["group"]) if store in seen]
+    return 2 * len(here) > len(document["group"]) and here[0] == council.store.store
+
+
+async def _swap_silent(council: "Council", part: str, nowMs: float) -> None:
+    register = council.registers[part]
+    document = register.document
+    if document is None or nowMs - council.startedMs < REPLACE_AFTER_MS:
+        return
+    group, own = document["group"], council.store.store
+    silent = [s for s in group if s != own and council.kindred.silentMs(s, nowMs) > REPLACE_AFTER_MS]
+    spares = [kin.store for kin in council.kindred.alive(nowMs) if kin.store not in group and kin.fleet]
+    if not silent or not spares:
+        return
+    body = {"part": part, "ballot": register.ballot, "document": document}
+    await council.chamber.vote(spares[0], "vote.learn", body, PREPARE_WAIT_MS)
+    swapped = [spares[0] if store == silent[0] else store for store in group]
+    await register.commit(document, succeed(document, document["body"], None, swapped))
+    council.announce(part)
+    _log.warn("Swapped {} for {} in {}.", silent[0], spares[0], part)
+
+
--- /dev/null
+++ b/src/finchswitch/accord/voting.py
@@ -0,0 +1,75 @@
+"""The chamber: how a register's asks reach every acceptor, and how this node's acceptors answer.
+
+An ask names the fleet and the store that it means, so that a store which took a lost one's place at the same
+address is never mistaken for it.
+"""
+
+from typing import Any
+
+import anyio
+from anyio.abc import TaskGroup
+
+from finchswitch.accord.acceptor import read_ballot
+from finchswitch.accord.document import Document
+from finchswitch.accord.store import Store
+from finchswitch.kinship.kin import Kindred
+from finchswitch.logs import prefix
+from finchswitch.mishap import Mishap
+from finchswitch.wire import Book, Message, field
+
+__all__ = ["Chamber", "Committed"]
+
+_log = prefix("accord")
+Committed = tuple[str, Document]
+
+
+class Chamber:
+    def __init__(self, store: Store, kindred: Kindred, book: Book, group: TaskGroup) -> None:
+        self._store, self._kindred, self._book, self._group = store, kindred, book, group
+
+    async def vote(self, store: str, kind: str, body: Message, waitMs: float) -> Message:
+        body = {**body, "fleet": self._store.fleet, "store": store}
+        if store == self._store.store:
+            return self.answer(kind, body)
+        kin = self._kindred.by_store.get(store)
+        if kin is None:
+            raise Mishap.silent(kind, store, "its address is not known")
+        return await self._book.ask(kin.address, kind, body, waitMs)
+
+    def later(self, store: str, kind: str, body: Message, waitMs: float, back: Any) -> None:
+        self._group.start_soon(self._vote_back, store, kind, body, waitMs, back)
+
+    async def _vote_back(self, store: str, kind: str, body: Message, waitMs: float, back: Any) -> None:
+        answer: Message | None = None
+        try:
+            answer = await self.vote(store, kind, body, waitMs)
+        except Mishap as mishap:
+            _log.info("A vote is missing. {}", mishap)
+        try:
+            back.send_nowait((store, answer))
+        except (anyio.WouldBlock, anyio.BrokenResourceError, anyio.ClosedResourceError):
+            pass
+
+    def answer(self, kind: str, body: Message) -> Message:
+        """Answer a vote.* ask; ``vote.commit`` answers with what it showed to be committed."""
+        part, named = field(body, "part", str), (body.get("fleet"), body.get("store"))
+        if not self._store.fleet or named != (self._store.fleet, self._store.store):
+            raise Mishap.refused(kind, self._store.store, "asked as another store or fleet")
+        if part not in self._store.acceptors:
+            raise Mishap.refused(kind, self._store.store, f"no part {part}")
+        acceptor, ballot = self._store.acceptors[part], read_ballot(body.get("ballot"))
+        if kind == "vote.prepare":
+            return acceptor.prepare(ballot)
+        if kind == "vote.accept":
+            answer = acceptor.accept(ballot, body.get("document"), body.get("delta"))
+            self._store.note_votes()
+            return answer
+        if kind == "vote.learn":
+            acceptor.learn(ballot, field(body, "document", dict))
+            return {"yes": True}
+        if kind == "vote.check":
+            return {"yes": acceptor.votes() and acceptor.promised == ballot, "promised": acceptor.promised}
+        held = acceptor.document
+        if kind == "vote.commit" and held and acceptor.ballot == ballot and held["step"] == body.get("step"):
+            return {"part": part, "document": held}
+        return {}
--- /dev/null
+++ b/src/finchswitch/affinity/draw.py
@@ -0,0 +1,113 @@
+"""The draw: the design's choice of a runner for one prompt.
+
+Hot openings go to any runner without affinity: of two taken by chance, the one with less burden. Every other
+opening goes by its hash to its home. A home that is overloaded, leaving, down or tried already gives way to the
+next in hash order, and to few of them. A seat is granted only where the estimated first token meets the due.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+from random import Random
+
+from finchswitch.affinity.beliefs import Beliefs
+from finchswitch.affinity.burden import Burdens
+from finchswitch.affinity.homes import home_order, shifted
+from finchswitch.affinity.opening import Opening
+from finchswitch.constants import SECOND_HOMES
+
+__all__ = ["Drawn", "Draws", "Seatable", "Way"]
+
+
+class Way(Enum):
+    """Why a runner was drawn."""
+
+    HOT = "hot"
+    HOME = "home"
+    SPILL = "spill"
+    TIMELY = "timely"
+
+
+@dataclass(frozen=True)
+class Seatable:
+    """A runner that may be given work now."""
+
+    runner: str
+    incarnation: str
+    slots: int
+    prefillTokensPerS: int
+
+
+@dataclass(frozen=True)
+class Drawn:
+    runner: Seatable
+    way: Way
+    prefillTokens: int
+    firstMs: float
+
+
+class Draws:
+    def __init__(self, beliefs: Beliefs, burdens: Burdens, chance: Random) -> None:
+        self._beliefs, self._burdens, self._chance = beliefs, burdens, chance
+
+    def estimate(self, opening: Opening, runner: Seatable, way: Way, nowMs: float) -> Drawn:
+        """When the first token would come: waiting for a slot, others' prefill, then this prompt's own."""
+        load = self._burdens.of(runner.incarnation, nowMs)
+        cold = not self._beliefs.holds(runner.incarnation, opening.digest, nowMs)
+        tokens = opening.ownTokens + (opening.openingTokens if cold else 0)
+        waiting = max(0.0, load.seats + 1 - runner.slots)
+        waitMs = waiting * self._burdens.seatMs(runner.incarnation) / runner.slots
+        prefillMs = 1000 * (load.prefillTokens + tokens) / runner.prefillTokensPerS
+        return Drawn(runner, way, tokens, waitMs + prefillMs)
+
+    def draw(
+        self,
+        opening: Opening,
+        hot: list[str],
+        runners: list[Seatable],
+        homes: list[str],
+        spillShare: float,
+        dueMs: float,
+        nowMs: float,
+    ) -> Drawn | None:
+        """A runner for the prompt, or None when none can be timely.
+
+        ``homes`` names the runners that own openings, among them such as cannot be seated now.
+        """
+        by_name = {each.runner: each for each in runners}
+        if not by_name:
+            return None
+        if opening.digest in hot:
+            pair = self._chance.sample(sorted(by_name), min(2, len(by_name)))
+            both = [self.estimate(opening, by_name[name], Way.HOT, nowMs) for name in pair]
+            first = min(both, key=lambda each: self._share(each.runner, nowMs))
+        else:
+            first = self._home(opening, by_name, homes, spillShare, nowMs)
+        if first.firstMs <= dueMs:
+            return first
+        others = [self.estimate(opening, each, Way.TIMELY, nowMs) for each in runners]
+        timely = min(others, key=lambda each: each.firstMs)
+        return timely if timely.firstMs <= dueMs else None
+
+    def _home(
+        self, opening: Opening, by_name: dict[str, Seatable], homes: list[str], spillShare: float, nowMs: float
+    ) -> Drawn:
+        owned = home_order(opening.digest, homes)
+        order = [name for name in owned if name in by_name] or home_order(opening.digest, list(by_name))
+        for name in order[: 1 + SECOND_HOMES]:
+            if self._share(by_name[name], nowMs) < spillShare:
+                way = Way.HOME if name == owned[0] else Way.SPILL
+                return self.estimate(opening, by_name[name], way, nowMs)
+        spilled = [self.estimate(opening, by_name[name], Way.SPILL, nowMs) for name in order[: 1 + SECOND_HOMES]]
+        return min(spilled, key=lambda each: each.firstMs)
+
+    def _share(self, runner: Seatable, nowMs: float) -> float:
+        return self._burdens.of(runner.incarnation, nowMs).seats / runner.slots
+
+
+def owners(digest: str, before: list[str], after: list[str], share: float) -> list[str]:
+    """The runners that may own an opening while a plan has moved a share of the homes.
+
+    >>> owners("o", ["r1"], ["r2"], 0.0), owners("o", ["r1"], ["r2"], 1.0)
+    (['r1'], ['r2'])
+    """
+    return after if shifted(digest, share) else before
--- /dev/null
+++ b/src/finchswitch/constants.py
@@ -0,0 +1,94 @@
+"""Every number the fleet runs by, in one place, each with its unit in the name and its reason beside it.
+
+Names end in Ms (milliseconds), Bytes, Tokens, Share (a fraction of one) or are plain counts. Values that an
+operator may change live in the configuration (see ``creed``); what stands here is agreed by all processes of
+a fleet, since they judge each other's silence by it.
+"""
+
+from typing import Final
+
+# Wire
+FRAME_MOST_BYTES: Final = 8 * 1024 * 1024  # a configuration of some ten thousand bindings, with room
+FRAME_DIGITS_MOST: Final = 8  # enough digits for FRAME_MOST_BYTES; a longer length is a broken frame
+DIAL_WAIT_MS: Final = 300  # a live machine in the same hall answers in a few ms; dark ones must not hold us
+ASK_WAIT_MS: Final = 500  # under the failover second, above a slow sync
+INBOX_MOST: Final = 1024  # asks waiting in one process; past it the sender feels the back pressure
+
+# Kinship
+BEAT_MS: Final = 200  # agreed beat; three of them fit in one silence
+CONTROL_SILENT_MS: Final = 600  # three beats: a control node that missed them is treated as gone
+SESSION_SILENT_MS: Final = 1_000  # five beats: a session that missed them has ended
+CONTROL_GRACE_MS: Final = 1_500  # without current control this long, a node needs half of its peers to grant
+PEER_BEAT_MS: Final = 250  # burden and news of leaving; also the bound on going back after a wake
+PEER_SILENT_MS: Final = 1_000  # four peer beats
+TOLD_KEEP_MS: Final = 3_000  # sessions of a dead control node stand this long, so their nodes can move over
+
+# Accord
+PARTS: Final = 4  # parts for services; few services today, a handful keeps owners spread over three cores
+GROUP: Final = 3  # acceptors a part: survives the loss of one core machine, as the brief asks
+CREED_PART: Final = "creed"  # the part that holds the configuration
+PREPARE_WAIT_MS: Final = 500  # a ballot waits this long for its majority
+ACCEPT_WAIT_MS: Final = 900  # a commit waits this long, then its fate is unknown
+STAND_PAUSE_MS: Final = 100  # pause before standing again, spread by up to as much, so rivals miss each other
+REPLACE_AFTER_MS: Final = 4_000  # a group member silent this long may give its place to an empty store
+RECENT_MOST: Final = 256  # change ids remembered in a document, so a repeat never commits twice
+DELIVERY_LOOK_MS: Final = 20  # between two looks at who has confirmed; short against the 2 s of a change
+CHANGE_WAIT_MS: Final = 3_500  # a forwarded change: commit plus delivery, with room for one failover step
+DELIVERY_WAIT_MS: Final = 1_900  # the wait for every node's word before 202; the brief allows about 2 s
+OWNER_WAIT_MS: Final = 1_500  # how long a change waits for an owner to stand before 503
+CHANGE_MOST_BYTES: Final = 4 * 1024 * 1024  # half a frame: the document holds the change beside the rest
+SHELF_SLOW_MS: Final = 400  # a sync slower than this is a refusal to vote
+SHELF_KEEP: Final = 2  # versions kept of one file; only the newest counts, the other is for people
+
+# Relay
+FANOUT: Final = 3  # children a node: eight nodes need two steps
+FOLLOW_HOLD_MS: Final = 200  # a parent with nothing new answers after this, which shows it lives
+PARENT_SILENT_MS: Final = 400  # then the node goes elsewhere
+ELSEWHERE_MS: Final = 2_000  # how long a silent parent is passed over
+BEHIND_MS: Final = 150  # a beat showed newer news and the parent did not bring it within this
+NEWS_KEEP: Final = 64  # changes kept for followers; one further behind gets a snapshot
+
+# Runners
+LIST_POLL_MS: Final = 500  # the brief allows about 3 s from the list to no new work
+LIST_WAIT_MS: Final = 400  # a poll slower than this is repeated at once
+LIST_UNKNOWN_MS: Final = 2_500  # no list and no peers' word for this long: no seats
+VITALS_POLL_MS: Final = 500  # runners report late anyway; faster reading shows nothing new
+VITALS_OLD_MS: Final = 3_000  # a report older than this no longer counts
+PROOF_WAIT_MS: Final = 1_000  # connecting and proving an identity
+RUNNER_SILENT_MS: Final = 10_000  # between pieces; a runner dark for this long is a mishap
+DOWN_MS: Final = 2_000  # a runner that refused or broke connections is passed over this long
+FIRST_WAIT_SHARE: Final = 2.0  # of the due: how long a first token is awaited past the estimate that met it
+PLAN_STEP_MS: Final = 1_000  # between two steps of a plan: an arriving home warms before the next share moves
+PLAN_STEP_SHARE: Final = 0.125  # of all openings moved by one step
+
+# Affinity
+HOT_HALF_MS: Final = 10_000  # popularity halves in this time (ours)
+HOT_MOST: Final = 4  # openings in a service's hot set (ours); small, as the source has it
+HOT_ENTER_SHARE: Final = 0.25  # share of a service's prompts at which an opening becomes hot (ours)
+HOT_LEAVE_SHARE: Final = 0.12  # and below which it stops (hysteresis, ours)
+COUNTS_MOST: Final = 512  # openings counted a service; bounded memory
+BELIEF_MS: Final = 120_000  # how long a prompt sent is believed kept (ours)
+BELIEFS_MOST: Final = 4_096  # beliefs kept a runner
+SPILL_BURDEN_SHARE: Final = 0.9  # of a home's slots in use, past which its openings spill (ours)
+CHARS_A_TOKEN: Final = 4  # rough length of a token, for prefill estimates
+PREFILL_TOKENS_A_S: Final = 8_000  # default speed of prefill, until the configuration says otherwise
+SECOND_HOMES: Final = 2  # further homes tried past an overloaded one; few, so that an opening does not smear
+SEAT_MS: Final = 2_000  # how long a seat is thought to last before any was seen
+SMOOTH_SHARE: Final = 0.1  # weight of the newest observation in a running mean
+REPORT_TRUST_SHARE: Final = 0.5  # weight of a late report's excess over what the nodes themselves know
+
+# Seats and tries
+DUE_DEFAULT_MS: Final = 10_000  # first token due when the caller names none
+DUE_LEAST_MS: Final = 50  # a due under this cannot be met by any runner
+DUE_MOST_MS: Final = 120_000  # a due over this is a mistake
+RETRY_AFTER_LEAST_S: Final = 1  # refused callers come back within ...
+RETRY_AFTER_MOST_S: Final = 4  # ... this spread, so that a crowd does not return together
+TRIES_WINDOW_MS: Final = 10_000  # the brief's ten seconds
+TRIES_SHARE: Final = 0.15  # under the brief's fifth, with room for callers that count differently
+TRIES_FLOOR: Final = 3  # a node: a few dozen over the fleet
+BODY_MOST_BYTES: Final = 1024 * 1024  # thirteen thousand tokens are about 60 kB
+REQUEST_ID_MOST: Final = 128  # characters of a caller's request id
+
+# Stopping
+STOP_SETTLE_MS: Final = 500  # after unready and before the door closes: the platform looks again meanwhile
+STOP_MOST_MS: Final = 60_000  # streams under way get this long to finish
--- /dev/null
+++ b/src/finchswitch/creed/check.py
@@ -0,0 +1,123 @@
+"""Checking a configuration: every bad field is named, and one bad field refuses the whole.
+
+``read_creed`` turns plain JSON into a ``Creed`` or the list of what is wrong. It is used by the command line,
+by the control nodes before a change is proposed, and by the routing nodes when news arrives.
+"""
+
+import re
+from typing import Any
+
+from returns.result import Failure, Result, Success
+from serde import SerdeError, from_dict
+
+from finchswitch.creed.model import Binding, Creed, Plan, PlanStep, Runner, Service, Settings
+
+__all__ = ["check_creed", "read_creed"]
+
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._/-]{0,99}\Z")
+_KINDS: dict[str, type] = {"services": Service, "runners": Runner, "bindings": Binding, "plans": Plan}
+
+
+def read_creed(raw: Any) -> Result[Creed, list[str]]:
+    """Read and check plain JSON.
+
+    >>> read_creed({"services": {"m": {"dueMs": 0}}}).failure()
+    ['services.m.dueMs: 0 is not within 50 and 120000']
+    >>> read_creed({"sevrices": {}}).failure()
+    ['sevrices: no such kind of entry']
+    """
+    if not isinstance(raw, dict):
+        return Failure(["configuration: not an object"])
+    wrong = [f"{kind}: no such kind of entry" for kind in raw if kind not in _KINDS and kind != "settings"]
+    creed = Creed()
+    for kind, shape in _KINDS.items():
+        entries = raw.get(kind, {})
+        if not isinstance(entries, dict):
+            wrong.append(f"{kind}: not an object")
+            continue
+        for name, value in entries.items():
+            if not _NAME.match(name):
+                wrong.append(f"{kind}.{name[:100]}: not a name")
+            read = _read(shape, value, f"{kind}.{name}")
+            if isinstance(read, str):
+                wrong.append(read)
+            else:
+                getattr(creed, kind)[name] = read
+    settings = _read(Settings, raw.get("settings", {}), "settings")
+    if isinstance(settings, str):
+        wrong.append(settings)
+    else:
+        creed.settings = settings
+    wrong.extend(check_creed(creed) if not wrong else [])
+    return Failure(wrong) if wrong else Success(creed)
+
+
+def _read(shape: type, value: Any, where: str) -> Any:
+    if not isinstance(value, dict):
+        return f"{where}: not an object"
+    try:
+        return from_dict(shape, value)
+    except SerdeError as error:
+        return f"{where}: {' '.join(str(error).split())}"
+
+
+def check_creed(creed: Creed) -> list[str]:
+    """What is wrong between the entries, and numbers out of range."""
+    wrong: list[str] = []
+    _range(wrong, "settings.triesShare", creed.settings.triesShare, 0, 0.2)
+    _range(wrong, "settings.spillShare", creed.settings.spillShare, 0.1, 1)
+    for name, service in creed.services.items():
+        _range(wrong, f"services.{name}.dueMs", service.dueMs, 50, 120_000)
+        _range(wrong, f"services.{name}.hotMost", service.hotMost, 0, 64)
+        _range(wrong, f"services.{name}.hotEnterShare", service.hotEnterShare, 0.01, 1)
+        _range(wrong, f"services.{name}.hotLeaveShare", service.hotLeaveShare, 0, service.hotEnterShare)
+    for name, runner in creed.runners.items():
+        _range(wrong, f"runners.{name}.slots", runner.slots, 1, 10_000)
+        _range(wrong, f"runners.{name}.prefillTokensPerS", runner.prefillTokensPerS, 1, 10_000_000)
+    bound: dict[str, str] = {}
+    for name, binding in creed.bindings.items():
+        where = f"bindings.{name}"
+        if binding.service not in creed.services:
+            wrong.append(f"{where}.service: unknown service {binding.service}")
+        if binding.service in bound:
+            wrong.append(f"{where}.service: {binding.service} is bound by {bound[binding.service]} already")
+        bound[binding.service] = name
+        _runners(wrong, f"{where}.runners", binding.runners, creed)
+        if not binding.runners:
+            wrong.append(f"{where}.runners: empty")
+    _check_plans(wrong, creed)
+    return wrong
+
+
+def _check_plans(wrong: list[str], creed: Creed) -> None:
+    moved: dict[str, str] = {}
+    for name, plan in creed.plans.items():
+        where = f"plans.{name}"
+        _runners(wrong, f"{where}.leaving", plan.leaving, creed)
+        _runners(wrong, f"{where}.arriving", plan.arriving, creed)
+        for both in sorted(set(plan.leaving) & set(plan.arriving)):
+            wrong.append(f"{where}.arriving: {both} leaves by the same plan")
+        for binding in plan.bindings:
+            if binding not in creed.bindings:
+                wrong.append(f"{where}.bindings: unknown binding {binding}")
+                continue
+            stays = (set(creed.bindings[binding].runners) - set(plan.leaving)) | set(plan.arriving)
+            if not stays:
+                wrong.append(f"{where}.leaving: binding {binding} would have no runner left")
+        if plan.step is not PlanStep.ABANDONED:
+            for thing in [*plan.leaving, *plan.arriving, *plan.bindings]:
+                if moved.setdefault(thing, name) != name:
+                    wrong.append(f"{where}: {thing} is in plan {moved[thing]} already")
+
+
+def _range(wrong: list[str], where: str, value: float, least: float, most: float) -> None:
+    if not least <= value <= most:
+        wrong.append(f"{where}: {value} is not within {least} and {most}")
+
+
+def _runners(wrong: list[str], where: str, names: list[str], creed: Creed) -> None:
+    for name in names:
+        if name not in creed.runners:
+            wrong.append(f"{where}: unknown runner {name}")
+    for name in sorted({each for each in names if names.count(each) > 1}):
+        wrong.append(f"{where}: {name} stands twice")
--- /dev/null
+++ b/src/finchswitch/creed/edits.py
@@ -0,0 +1,62 @@
+"""Named edits: replace or remove single entries of a configuration, all of them or none.
+
+An edit is ``{"kind": "bindings", "name": "counter", "value": {...}}``; a null value removes the entry. The same
+form carries changes down the relay tree: ``edits_between`` says what turns one body into another.
+"""
+
+from copy import deepcopy
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+__all__ = ["apply_edits", "edits_between"]
+
+Body = dict[str, Any]
+
+
+def apply_edits(body: Body, edits: Any) -> Result[Body, list[str]]:
+    """A new body with all edits, or what is wrong with them.
+
+    >>> apply_edits({"runners": {"a": {}}}, [{"kind": "runners", "name": "a", "value": None}]).unwrap()
+    {'runners': {}}
+    >>> apply_edits({}, [{"kind": "runners", "name": "a", "value": None}]).failure()
+    ['edits.0: runners.a does not exist']
+    """
+    if not isinstance(edits, list) or not edits:
+        return Failure(["edits: not a list with entries"])
+    wrong: list[str] = []
+    result, seen = deepcopy(body), set()
+    for at, edit in enumerate(edits):
+        if not isinstance(edit, dict) or set(edit) != {"kind", "name", "value"}:
+            wrong.append(f"edits.{at}: needs kind, name and value, and nothing else")
+            continue
+        kind, name, value = edit["kind"], edit["name"], edit["value"]
+        if not isinstance(kind, str) or not isinstance(name, str):
+            wrong.append(f"edits.{at}: kind and name must be strings")
+            continue
+        if (kind, name) in seen:
+            wrong.append(f"edits.{at}: {kind}.{name} is edited twice")
+        seen.add((kind, name))
+        entries = result.setdefault(kind, {})
+        if value is not None:
+            entries[name] = value
+        elif name in entries:
+            del entries[name]
+        else:
+            wrong.append(f"edits.{at}: {kind}.{name} does not exist")
+    return Failure(wrong) if wrong else Success(result)
+
+
+def edits_between(old: Body, new: Body) -> list[Body]:
+    """The edits that turn old into new.
+
+    >>> edits_between({"a": {"x": 1, "y": 2}}, {"a": {"x": 3}})
+    [{'kind': 'a', 'name': 'x', 'value': 3}, {'kind': 'a', 'name': 'y', 'value': None}]
+    """
+    edits = []
+    for kind in sorted(set(old) | set(new)):
+        before, after = old.get(kind, {}), new.get(kind, {})
+        for name in sorted(set(before) | set(after)):
+            if before.get(name) != after.get(name):
+                edits.append({"kind": kind, "name": name, "value": after.get(name)})
+    return edits
--- /dev/null
+++ b/src/finchswitch/kinship/kin.py
@@ -0,0 +1,79 @@
+"""What one control node knows of another: the content of its last answer to a beat, and when that was asked.
+
+Beats go both ways between all control nodes. An answer counts from the moment its beat was sent, so that an
+old answer that arrives late does not look fresh.
+"""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from finchswitch.accord.acceptor import read_ballot
+from finchswitch.accord.document import Ballot
+from finchswitch.constants import CONTROL_SILENT_MS
+from finchswitch.wire import Message
+from finchswitch.wire import field as read
+
+__all__ = ["Kin", "Kindred"]
+
+
+@dataclass
+class Kin:
+    """Another control node."""
+
+    store: str
+    name: str
+    address: str
+    http: str
+    fleet: str
+    founders: list[str]
+    sees: list[str]
+    owns: dict[str, dict[str, Any]]
+    promised: dict[str, Ballot]
+    generations: dict[str, int]
+    sessions: list[Message]
+    heardMs: float = 0.0
+    askedMs: float = field(default=-1e18)
+
+    @classmethod
+    def read(cls, body: Message, peer: str) -> "Kin":
+        promised = read(body, "promised", dict, peer)
+        return cls(
+            store=read(body, "store", str, peer),
+            name=read(body, "name", str, peer),
+            address=read(body, "address", str, peer),
+            http=read(body, "http", str, peer),
+            fleet=read(body, "fleet", str, peer),
+            founders=read(body, "founders", list, peer),
+            sees=read(body, "sees", list, peer),
+            owns=read(body, "owns", dict, peer),
+            promised={part: read_ballot(ballot) for part, ballot in promised.items()},
+            generations=read(body, "generations", dict, peer),
+            sessions=read(body, "sessions", list, peer),
+        )
+
+
+class Kindred:
+    """The control nodes known, by store and by address."""
+
+    def __init__(self, own_address: str, seeds: list[str]) -> None:
+        self._own = own_address
+        self.addresses = {each for each in seeds if each != own_address}
+        self.by_store: dict[str, Kin] = {}
+
+    def heard(self, kin: Kin, nowMs: float, askedMs: float | None) -> None:
+        """Take in a beat (no askedMs) or the answer to one."""
+        before = self.by_store.get(kin.store)
+        kin.askedMs = askedMs if askedMs is not None else (before.askedMs if before else -1e18)
+        kin.heardMs = nowMs
+        for other in [each for each in self.by_store.values() if each.address == kin.address]:
+            del self.by_store[other.store]
+        self.by_store[kin.store] = kin
+        if kin.address != self._own:
+            self.addresses.add(kin.address)
+
+    def alive(self, nowMs: float) -> list[Kin]:
+        return [each for each in self.by_store.values() if nowMs - each.heardMs <= CONTROL_SILENT_MS]
+
+    def silentMs(self, store: str, nowMs: float) -> float:
+        kin = self.by_store.get(store)
+        return nowMs - kin.heardMs if kin else float("inf")
--- /dev/null
+++ b/src/finchswitch/kinship/member.py
@@ -0,0 +1,192 @@
+"""A routing node's place among the others: its session with control, its peers, and whether it may grant.
+
+``may_grant`` is asked at each grant by a clock that counts freezes. With current control in the last moments
+the node serves; without, it needs to have heard half of the peers it knew, and nothing newer from them than it
+holds. After any gap it serves again only when what it holds is confirmed.
+"""
+
+from enum import Enum
+from typing import Protocol
+
+from anyio.abc import TaskGroup
+
+from finchswitch.charts import Walker, load_chart
+from finchswitch.constants import (
+    BEAT_MS,
+    CONTROL_GRACE_MS,
+    CONTROL_SILENT_MS,
+    CREED_PART,
+    PEER_BEAT_MS,
+    PEER_SILENT_MS,
+)
+from finchswitch.kinship.tempo import Tempo
+from finchswitch.logs import prefix
+from finchswitch.mishap import Mishap
+from finchswitch.relay import NewsBook
+from finchswitch.wire import Book, Message, World, field
+
+__all__ = ["Member", "NodeState", "Word"]
+
+_log = prefix("kinship")
+
+
+class NodeState(Enum):
+    JOINING = "joining"
+    SERVING = "serving"
+    CUT_OFF = "cut-off"
+    STOPPING = "stopping"
+
+
+class NodeEvent(Enum):
+    CONFIRMED = "confirmed"
+    CUT = "cut"
+    STOP = "stop"
+
+
+_CHART = load_chart("node", NodeState, NodeEvent)
+_NEVER = -1e18
+
+
+class Word(Protocol):
+    """What a node adds to its beats to peers: burden, leaving runners, duties."""
+
+    group: TaskGroup
+
+    def speak(self) -> Message: ...
+
+    def hear(self, beat: Message) -> None: ...
+
+
+class Member:
+    def __init__(self, world: World, book: Book, news: NewsBook, card: Message, seeds: list[str]) -> None:
+        self._world, self._book, self._news = world, book, news
+        self.card = card  # name, address, http, district, incarnation
+        self._walker = Walker(_CHART, card["name"])
+        self.controls = list(seeds)
+        self.control = ""
+        self.members: list[Message] = []
+        self._listed = False
+        self._currentMs = _NEVER
+        self._told: dict[str, int] = {}
+        self.peers: dict[str, Message] = {}
+        self.heardMs: dict[str, float] = {}
+        self.tempo = Tempo(world)
+
+    @property
+    def state(self) -> NodeState:
+        return self._walker.state
+
+    def wants(self) -> dict[str, int]:
+        """The newest generations heard of from anyone."""
+        wanted = dict(self._told)
+        for name, beat in self.peers.items():
+            if self._hears(name, self._world.nowMs()):
+                for part, generation in beat["generations"].items():
+                    wanted[part] = max(wanted.get(part, -1), generation)
+        return wanted
+
+    def _hears(self, name: str, nowMs: float) -> bool:
+        return nowMs - self.heardMs.get(name, _NEVER) <= PEER_SILENT_MS
+
+    def known(self) -> list[str]:
+        """The other nodes that this one knows: the last list by control, or who spoke before any list came."""
+        names = [each["name"] for each in self.members] if self._listed else list(self.peers)
+        return [each for each in names if each != self.card["name"]]
+
+    def may_grant(self) -> bool:
+        """Whether this node may grant a seat now; the one place where its readiness changes."""
+        nowMs, held = self._world.nowMs(), self._news.generation(CREED_PART)
+        if self._walker.state is NodeState.STOPPING:
+            return False
+        controlled = nowMs - self._currentMs <= CONTROL_GRACE_MS
+        if controlled:
+            confirmed = held >= self._told.get(CREED_PART, 0)
+        else:
+            known = self.known()
+            heard = [name for name in known if self._hears(name, nowMs)]
+            newest = max((self.peers[name]["generations"].get(CREED_PART, -1) for name in heard), default=-1)
+            confirmed = bool(known) and 2 * len(heard) >= len(known) and held >= newest
+        if held >= 1 and confirmed and self._walker.state is not NodeState.SERVING:
+            self._walker.take(NodeEvent.CONFIRMED)
+            _log.info("Serving generation {}{}.", held, "" if controlled else ", by the word of peers")
+        elif not confirmed and not controlled and self._walker.state is NodeState.SERVING:
+            self._walker.take(NodeEvent.CUT)
+            _log.warn("Cut off; no seats until control or half of the peers are heard.")
+        return self._walker.state is NodeState.SERVING
+
+    def stop(self) -> None:
+        self._walker.take(NodeEvent.STOP)
+
+    async def keep_session(self) -> None:
+        """The session with one control node after another."""
+        while self.state is not NodeState.STOPPING:
+            self.control = self.control or self._world.chance.choice(self.controls)
+            body = {**self.card, "generations": self._news.generations()}
+            askedMs = self._world.nowMs()
+            try:
+                answer = await self._book.ask(self.control, "session.beat", body, CONTROL_SILENT_MS)
+                self._hear_control(answer, askedMs)
+            except Mishap as mishap:
+                _log.info("No session with {}. {}", self.control, mishap)
+                self._elsewhere()
+            self.may_grant()
+            await self.tempo.pause(BEAT_MS if self.control else BEAT_MS / 4)
+
+    def _elsewhere(self) -> None:
+        others = [each for each in self.controls if each != self.control]
+        self.control = self._world.chance.choice(others) if others else ""
+
+    def _hear_control(self, answer: Message, askedMs: float) -> None:
+        controls, generations = field(answer, "controls", list), field(answer, "generations", dict)
+        for address in controls:
+            if address not in self.controls:
+                self.controls.append(address)
+        for part, generation in generations.items():
+            self._told[part] = max(self._told.get(part, -1), generation)
+        if answer.get("current") is not True:
+            self._elsewhere()
+            return
+        self._currentMs = askedMs
+        self.members, self._listed = field(answer, "members", list), True
+
+    async def beat_peers(self, own_word: Word) -> None:
+        """Tell every peer known this node's word, and hear theirs."""
+        while True:
+            for address in {each["address"] for each in [*self.members, *self.peers.values()]}:
+                if address != self.card["address"]:
+                    own_word.group.start_soon(self._beat_one, address, own_word)
+            await self._world.sleep(PEER_BEAT_MS)
+
+    async def _beat_one(self, address: str, own_word: Word) -> None:
+        askedMs = self._world.nowMs()
+        try:
+            answer = await self._book.ask(address, "peer.beat", self.word(own_word), PEER_SILENT_MS)
+            self.hear_peer(answer, askedMs)
+            own_word.hear(answer)
+        except (Mishap, KeyError, TypeError, ValueError) as mishap:
+            _log.debug("A peer is silent or speaks badly. {!r}", mishap)
+
+    def word(self, own_word: Word) -> Message:
+        return {**self.card, "generations": self._news.generations(), **own_word.speak()}
+
+    def hear_peer(self, beat: Message, atMs: float) -> None:
+        name = field(beat, "name", str)
+        for key in ("address", "http", "district", "incarnation"):
+            field(beat, key, str)
+        for key in ("generations", "burden"):
+            field(beat, key, dict)
+        self.peers[name] = {**beat, "atMs": atMs}
+        self.heardMs[name] = max(self.heardMs.get(name, _NEVER), atMs)
+
+    def heard_peers(self) -> list[Message]:
+        nowMs = self._world.nowMs()
+        return [beat for name, beat in self.peers.items() if self._hears(name, nowMs)]
+
+    async def leave(self) -> None:
+        """End the session cleanly, at every control node that may hold it."""
+        for address in self.controls:
+            try:
+                await self._book.ask(address, "session.leave", {"name": self.card["name"]}, BEAT_MS)
+            except Mishap as mishap:
+                _log.info("A leave went unheard. {}", mishap)
+
--- /dev/null
+++ b/src/finchswitch/kinship/sessions.py
@@ -0,0 +1,143 @@
+"""Sessions of routing nodes: those that stand with this control node, and those that others tell of.
+
+A node is a member while its session stands with any control node. A session whose connection closed or whose
+beats stopped without a leave is dark: the node may be gone or only cut off, so it still counts when an owner
+asks whether a change is in effect everywhere, until a refused connection shows it gone.
+"""
+
+from collections.abc import Iterable
+from enum import Enum
+from typing import Any
+
+from finchswitch.charts import Walker, load_chart
+from finchswitch.constants import CONTROL_GRACE_MS, SESSION_SILENT_MS, TOLD_KEEP_MS
+from finchswitch.logs import prefix
+from finchswitch.wire import Message
+
+__all__ = ["SessionState", "Sessions", "dark_may_serve"]
+
+_log = prefix("kinship")
+
+
+class SessionState(Enum):
+    STANDING = "standing"
+    DARK = "dark"
+    GONE = "gone"
+
+
+class SessionEvent(Enum):
+    BEAT = "beat"
+    SILENCE = "silence"
+    LEAVE = "leave"
+    REFUSED = "refused"
+
+
+_CHART = load_chart("session", SessionState, SessionEvent)
+
+
+class _Session:
+    def __init__(self, name: str) -> None:
+        self.walker = Walker(_CHART, name)
+        self.beat: Message = {}
+        self.line = ""
+        self.seenMs = 0.0
+
+
+def dark_may_serve(dark: int, known: int) -> bool:
+    """Whether that many dark nodes, of all known, could each still hear half of the others.
+
+    >>> dark_may_serve(3, 6), dark_may_serve(4, 6), dark_may_serve(0, 1)
+    (False, True, False)
+    >>> dark_may_serve(1, 1)
+    True
+    """
+    return dark > 0 and 2 * (dark - 1) >= known - 1
+
+
+class Sessions:
+    def __init__(self) -> None:
+        self._own: dict[str, _Session] = {}
+        self._told: dict[str, tuple[float, list[Message]]] = {}
+
+    def beat(self, name: str, beat: Message, line: str, nowMs: float) -> bool:
+        """A node's beat; says whether anything others should hear of has changed."""
+        session = self._own.setdefault(name, _Session(name))
+        joined = not session.line or session.walker.state is not SessionState.STANDING
+        news = joined or beat.get("generations") != session.beat.get("generations")
+        session.walker.take(SessionEvent.BEAT)
+        session.beat, session.line, session.seenMs = beat, line, nowMs
+        if joined:
+            _log.info("Session of {} stands.", name)
+        return news
+
+    def leave(self, name: str) -> None:
+        session = self._own.get(name)
+        if session is not None and session.walker.can(SessionEvent.LEAVE):
+            session.walker.take(SessionEvent.LEAVE)
+            _log.info("{} has left.", name)
+
+    def line_closed(self, line: str) -> None:
+        for name, session in self._own.items():
+            if session.line == line and session.walker.state is SessionState.STANDING:
+                session.walker.take(SessionEvent.SILENCE)
+                _log.info("Connection of {} closed.", name)
+
+    def age(self, nowMs: float) -> None:
+        for name, session in self._own.items():
+            silentMs = nowMs - session.seenMs
+            if session.walker.state is SessionState.STANDING and silentMs > SESSION_SILENT_MS:
+                session.walker.take(SessionEvent.SILENCE)
+                _log.info("{} is silent.", name)
+
+    def refused(self, name: str) -> None:
+        session = self._own.get(name)
+        if session is not None and session.walker.can(SessionEvent.REFUSED):
+            session.walker.take(SessionEvent.REFUSED)
+            _log.info("{} is gone; its door refuses.", name)
+
+    def own(self, nowMs: float) -> list[Message]:
+        """This node's sessions, in the form in which control nodes tell them."""
+        return [
+            {**session.beat, "name": name, "ageMs": nowMs - session.seenMs, "state": session.walker.state.value}
+            for name, session in sorted(self._own.items())
+        ]
+
+    def told(self, store: str, sessions: list[Message], nowMs: float) -> None:
+        self._told[store] = (nowMs, sessions)
+        for each in sessions:
+            own = self._own.get(each["name"])
+            if own is not None and own.walker.state is SessionState.DARK and each["ageMs"] < nowMs - own.seenMs:
+                del self._own[each["name"]]  # its session stands elsewhere now
+
+    def all(self, nowMs: float) -> list[Message]:
+        """Every node known, each by its freshest record; only own and told within the keep time."""
+        merged: dict[str, Message] = {}
+        for record in self._records(nowMs):
+            held = merged.get(record["name"])
+            if held is None or record["ageMs"] < held["ageMs"]:
+                merged[record["name"]] = record
+        return [merged[name] for name in sorted(merged)]
+
+    def _records(self, nowMs: float) -> Iterable[Message]:
+        yield from self.own(nowMs)
+        for toldMs, sessions in self._told.values():
+            sinceMs = nowMs - toldMs
+            for told in sessions:
+                record: dict[str, Any] = {**told, "ageMs": told["ageMs"] + sinceMs}
+                if sinceMs > TOLD_KEEP_MS and record["state"] == SessionState.STANDING.value:
+                    record["state"] = SessionState.DARK.value
+                yield record
+
+    def members(self, nowMs: float) -> list[Message]:
+        """The members: nodes whose session stands, in the order that the relay tree is computed from."""
+        standing = [each for each in self.all(nowMs) if each["state"] == SessionState.STANDING.value]
+        return [{key: each[key] for key in ("name", "address", "http", "district")} for each in standing]
+
+    def lacking(self, part: str, generation: int, nowMs: float) -> tuple[list[str], int]:
+        """Names of nodes that may serve below a generation, and how many nodes are known in all."""
+        known = [each for each in self.all(nowMs) if each["state"] != SessionState.GONE.value]
+        behind = [each for each in known if each["generations"].get(part, -1) < generation]
+        dark = [each for each in behind if each["ageMs"] > CONTROL_GRACE_MS]
+        if len(dark) == len(behind) and not dark_may_serve(len(dark), len(known)):
+            return [], len(known)
+        return [each["name"] for each in behind], len(known)
--- /dev/null
+++ b/src/finchswitch/mishap.py
@@ -0,0 +1,43 @@
+"""A mishap: what went wrong, at which step, and with which peer.
+
+Every error that crosses a function's border in finchswitch is a ``Mishap``. It carries the step at which it
+arose and the peer that was involved, so that a log line or an operator's answer can name both.
+"""
+
+from enum import Enum
+
+__all__ = ["Mishap", "MishapKind"]
+
+
+class MishapKind(Enum):
+    SILENT = "silent"  # no answer in time
+    REFUSED = "refused"  # the peer said no
+    BROKEN = "broken"  # bytes or shape not as agreed
+    STALE = "stale"  # built on something older than what stands
+    INVALID = "invalid"  # the content is wrong
+    LARGE = "large"  # over a bound
+    FULL = "full"  # a disk or a queue has no room
+    LOST = "lost"  # a fate that nobody here knows
+
+
+class Mishap(Exception):
+    """An error with its step and its peer.
+
+    >>> str(Mishap(MishapKind.SILENT, "accept", "10.0.0.1:7001", "no answer in 500 ms"))
+    'accept at 10.0.0.1:7001: silent: no answer in 500 ms'
+    """
+
+    def __init__(self, kind: MishapKind, step: str, peer: str, reason: str) -> None:
+        super().__init__(kind, step, peer, reason)
+        self.kind, self.step, self.peer, self.reason = kind, step, peer, reason
+
+    def __str__(self) -> str:
+        return f"{self.step} at {self.peer}: {self.kind.value}: {self.reason}"
+
+    @classmethod
+    def silent(cls, step: str, peer: str, reason: str) -> "Mishap":
+        return cls(MishapKind.SILENT, step, peer, reason)
+
+    @classmethod
+    def refused(cls, step: str, peer: str, reason: str) -> "Mishap":
+        return cls(MishapKind.REFUSED, step, peer, reason)
--- /dev/null
+++ b/src/finchswitch/programs/__init__.py
@@ -0,0 +1,1 @@
+"""The programs: thin, over a library for each plane."""
--- /dev/null
+++ b/src/finchswitch/programs/cli.py
@@ -0,0 +1,100 @@
+"""The command line: ``finchswitch`` runs each program and operates a fleet.
+
+Exit codes: 0 done, 1 refused or failed (as the output says), 2 wrong settings or input, 3 nobody reachable,
+4 committed but not everywhere yet, 5 fate unknown.
+"""
+
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from typing import Annotated, Any
+
+import anyio
+import typer
+from returns.result import Failure
+
+from finchswitch.logs import to_stderr
+from finchswitch.programs import operate, stand_ins
+from finchswitch.programs.startup import Startup, read_startup
+
+__all__ = ["app"]
+
+app = typer.Typer(no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False, help="A router fleet for a language model.")
+app.add_typer(stand_ins.app, name="stand-in", hidden=True)
+operate.add_to(app)
+
+File = Annotated[Path | None, typer.Option("--file", help="Startup settings, a TOML file. Flags win over it.")]
+Name = Annotated[str | None, typer.Option(help="This process's name, unique in the fleet.")]
+Address = Annotated[str | None, typer.Option(help="IP:port for the fleet's own processes.")]
+Http = Annotated[str | None, typer.Option(help="IP:port for callers or operators.")]
+District = Annotated[str | None, typer.Option(help="The district (zone) this machine is in.")]
+Seeds = Annotated[list[str] | None, typer.Option("--seed", help="IP:port of another process; give three.")]
+Log = Annotated[str | None, typer.Option(help="debug, info, notice, warning or error.")]
+
+
+def _start(
+    program: str, file: Path | None, flags: dict[str, Any], run: Callable[[Startup], Coroutine[Any, Any, None]]
+) -> None:
+    read = read_startup(program, file, flags)
+    if isinstance(read, Failure):
+        for fault in read.failure():
+            typer.echo(fault, err=True)
+        raise typer.Exit(2)
+    startup = read.unwrap()
+    to_stderr(startup.log, startup.name)
+    anyio.run(run, startup, backend="trio")
+
+
+@app.command()
+def transit(
+    file: File = None,
+    name: Name = None,
+    address: Address = None,
+    http: Http = None,
+    district: District = None,
+    seed: Seeds = None,
+    platform: Annotated[str | None, typer.Option(help="IP:port of the platform's list of runners.")] = None,
+    log: Log = None,
+) -> None:
+    """Run a routing node."""
+    from finchswitch.programs.transit import run_transit
+
+    flags = {"name": name, "address": address, "http": http, "district": district, "seeds": seed, "log": log}
+    _start("transit", file, {**flags, "platform": platform}, run_transit)
+
+
+@app.command()
+def accord(
+    file: File = None,
+    name: Name = None,
+    address: Address = None,
+    http: Http = None,
+    district: District = None,
+    seed: Seeds = None,
+    data: Annotated[str | None, typer.Option(help="The data folder.")] = None,
+    log: Log = None,
+) -> None:
+    """Run a control node."""
+    from finchswitch.programs.accord import run_accord
+
+    flags = {"name": name, "address": address, "http": http, "district": district, "seeds": seed, "log": log}
+    _start("accord", file, {**flags, "data": data}, run_accord)
+
+
+@app.command()
+def stage(
+    deployment: Annotated[str, typer.Argument(help="hobart or zuerich.")],
+    seconds: Annotated[int, typer.Option(help="How long callers call.")] = 30,
+    seed: Annotated[int, typer.Option(help="The seed of callers and faults.")] = 1,
+    share: Annotated[float, typer.Option(help="Share of the deployment's request rate.")] = 1.0,
+    faults: Annotated[bool, typer.Option(help="Move plan, rolling stop and a killed control node.")] = True,
+    keep: Annotated[Path | None, typer.Option(help="Folder for logs and data; a temporary one otherwise.")] = None,
+    as_json: Annotated[bool, typer.Option("--json", help="The report as JSON.")] = False,
+) -> None:
+    """Run a whole fleet with stand-ins on this machine, each node a process, and report what callers got."""
+    from finchswitch.programs.stage import run_stage
+
+    raise typer.Exit(run_stage(deployment, seconds, seed, share, faults, keep, as_json))
+
+
+def main() -> None:
+    app()
--- /dev/null
+++ b/src/finchswitch/programs/fleet.py
@@ -0,0 +1,132 @@
+"""The processes of a staged fleet: starting, stopping, killing, and finding them."""
+
+import json
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import httpx
+
+from finchswitch.rehearsal.deployments import Deployment
+from finchswitch.rehearsal.history import History, ListEvent, RunSeen
+from finchswitch.wire import World
+
+__all__ = ["Fleet"]
+
+_HOST = "127.0.0.1"
+_PORTS = 17_100  # first port of a staged fleet; far from what is commonly used
+
+
+class Fleet:
+    def __init__(self, deployment: Deployment, folder: Path, ports: int = _PORTS) -> None:
+        self.deployment, self._folder, self._ports = deployment, folder, ports
+        self._running: dict[str, subprocess.Popen[bytes]] = {}
+        self._commands: dict[str, list[str]] = {}
+        self._http: dict[str, tuple[str, str]] = {}
+        self.incarnations: dict[str, str] = {}
+        self._addresses: dict[str, str] = {}
+        self._platform = self._next()
+        self._plan()
+
+    def _next(self) -> str:
+        self._ports += 1
+        return f"{_HOST}:{self._ports}"
+
+    def _plan(self) -> None:
+        self._commands["platform"] = ["stand-in", "platform", self._platform]
+        cores = [f"accord{at}" for at in range(1, self.deployment.cores + 1)]
+        seeds = [self._next() for _ in cores]
+        seeding = [part for seed in seeds for part in ("--seed", seed)]
+        for name, address in zip(cores, seeds, strict=True):
+            self._http[name] = (self._next(), "core")
+            place = ["--name", name, "--address", address, "--http", self._http[name][0], "--district", "core"]
+            self._commands[name] = ["accord", *place, "--data", str(self._folder / name), *seeding]
+        for at, district in enumerate(self.deployment.districts, 1):
+            name = f"transit{at}"
+            self._http[name] = (self._next(), district)
+            place = ["--name", name, "--address", self._next(), "--http", self._http[name][0], "--district", district]
+            self._commands[name] = ["transit", *place, "--platform", self._platform, *seeding]
+        for name in [*self.deployment.runner_names(), *self.deployment.spare]:
+            address, incarnation = self._next(), f"{name}-i1"
+            self.incarnations[name], self._addresses[name] = incarnation, address
+            history = ["--history", str(self._folder / f"{name}.runs")]
+            slots = ["--slots", str(self.deployment.slots)]
+            self._commands[name] = ["stand-in", "runner", name, incarnation, address, *slots, *history]
+
+    def start(self, name: str) -> None:
+        log = open(self._folder / f"{name}.log", "ab")  # noqa: SIM115
+        command = [sys.executable, "-m", "finchswitch", *self._commands[name]]
+        self._running[name] = subprocess.Popen(command, stdout=log, stderr=log)
+        log.close()
+
+    def start_all(self) -> None:
+        for name in self._commands:
+            self.start(name)
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        self._running[name].send_signal(number)
+        if number == signal.SIGKILL:
+            self._running.pop(name).wait()
+
+    async def stop_softly(self, name: str, world: World) -> None:
+        """SIGTERM, then wait for the process to end by itself."""
+        process = self._running.pop(name)
+        process.send_signal(signal.SIGTERM)
+        while process.poll() is None:
+            await world.sleep(50)
+
+    def stop_all(self) -> None:
+        for process in self._running.values():
+            process.send_signal(signal.SIGTERM)
+        for process in self._running.values():
+            try:
+                process.wait(15)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+        self._running.clear()
+
+    def doors(self) -> dict[str, tuple[str, str]]:
+        return {name: place for name, place in self._http.items() if name.startswith("transit")}
+
+    def desks(self) -> list[str]:
+        return [place[0] for name, place in self._http.items() if name in self._running and name.startswith("accord")]
+
+    async def founded(self, client: httpx.AsyncClient) -> bool:
+        try:
+            for address in self.desks():
+                if (await client.get(f"http://{address}/ready")).status_code != 200:
+                    return False
+        except httpx.HTTPError:
+            return False
+        return True
+
+    async def list_runners(self, client: httpx.AsyncClient, history: History, world: World) -> None:
+        for name, incarnation in self.incarnations.items():
+            act = {"act": "list", "runner": name, "incarnation": incarnation, "address": self._addresses[name]}
+            for _ in range(200):
+                try:
+                    await client.post(f"http://{self._platform}/stand-in", json=act)
+                    break
+                except httpx.HTTPError:
+                    await world.sleep(50)
+            history.listed.append(ListEvent(incarnation, "listed", world.nowMs()))
+
+    async def vitals(self, client: httpx.AsyncClient) -> dict[str, Any]:
+        shown: dict[str, Any] = {}
+        for name, (address, _) in self.doors().items():
+            try:
+                shown[name] = (await client.get(f"http://{address}/vitals")).json()
+            except httpx.HTTPError as error:
+                shown[name] = repr(error)
+        return shown
+
+    def read_runs(self) -> list[RunSeen]:
+        runs: list[RunSeen] = []
+        for name in self.incarnations:
+            file = self._folder / f"{name}.runs"
+            if file.exists():
+                runs += [RunSeen(**json.loads(line)) for line in file.read_text().splitlines()]
+        return runs
--- /dev/null
+++ b/src/finchswitch/programs/stand_ins.py
@@ -0,0 +1,64 @@
+"""The stand-ins as processes of their own, for ``stage``."""
+
+import json
+import signal
+from typing import Annotated, Any
+
+import anyio
+import typer
+
+from finchswitch.rehearsal.platform import StandInPlatform
+from finchswitch.rehearsal.runner import StandInRunner, Traits
+from finchswitch.wire.real import RealWorld
+
+__all__ = ["app"]
+
+app = typer.Typer(help="Stand-ins for what lies outside a fleet.")
+
+
+@app.command()
+def runner(
+    name: str,
+    incarnation: str,
+    address: str,
+    slots: int = 50,
+    weights: str = "w1",
+    history: Annotated[str, typer.Option(help="File for what was run, written at the end.")] = "",
+) -> None:
+    """A stand-in runner."""
+    anyio.run(_runner, name, incarnation, address, Traits(slots=slots, weights=weights), history, backend="trio")
+
+
+async def _runner(name: str, incarnation: str, address: str, traits: Traits, history: str) -> None:
+    async with anyio.create_task_group() as group:
+        world = RealWorld()
+        stand_in = StandInRunner(world, name, incarnation, traits)
+        await _until_stopped(world, group, stand_in.app(), address)
+        if history:
+            _write(history, stand_in)
+        group.cancel_scope.cancel()
+
+
+def _write(history: str, stand_in: StandInRunner) -> None:
+    with open(history, "w", encoding="utf-8") as file:
+        file.writelines(json.dumps(vars(run)) + "\n" for run in stand_in.runs)
+
+
+@app.command()
+def platform(address: str) -> None:
+    """A stand-in platform list."""
+    anyio.run(_platform, address, backend="trio")
+
+
+async def _platform(address: str) -> None:
+    async with anyio.create_task_group() as group:
+        await _until_stopped(RealWorld(), group, StandInPlatform().app(), address)
+        group.cancel_scope.cancel()
+
+
+async def _until_stopped(world: RealWorld, group: Any, asgi: Any, address: str) -> None:
+    stop = anyio.Event()
+    group.start_soon(world.serve_http, asgi, address, stop)
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            break
--- /dev/null
+++ b/src/finchswitch/rehearsal/callers.py
@@ -0,0 +1,122 @@
+"""Stand-in callers: open-loop arrivals, each request written down as its caller saw it.
+
+Arrivals do not wait for answers. The platform's part, handing a caller to a ready node in its district, is played
+by ``Desk``, which looks at each node's readiness as the platform would.
+"""
+
+import json
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+import httpx
+from httpx_sse import EventSource
+
+from finchswitch.rehearsal.deployments import Traffic
+from finchswitch.rehearsal.history import Call, History
+from finchswitch.wire import World
+
+__all__ = ["Desk", "call_once", "call_openly"]
+
+_LOOK_MS = 250
+_CALL_WAIT_MS = 60_000
+
+
+@dataclass
+class Desk:
+    """The platform's view of which nodes are ready."""
+
+    world: World
+    nodes: dict[str, tuple[str, str]]  # name: (http address, district)
+    ready: dict[str, bool] = field(default_factory=dict)
+
+    async def look(self) -> None:
+        async with httpx.AsyncClient(transport=self.world.http_transport(), trust_env=False) as client:
+            while True:
+                async with anyio.create_task_group() as group:
+                    for name in list(self.nodes):
+                        group.start_soon(self._look_at, client, name)
+                await self.world.sleep(_LOOK_MS)
+
+    async def _look_at(self, client: httpx.AsyncClient, name: str) -> None:
+        try:
+            response = await client.get(f"http://{self.nodes[name][0]}/ready", timeout=_LOOK_MS / 1000)
+            self.ready[name] = response.status_code == 200
+        except httpx.HTTPError:
+            self.ready[name] = False
+
+    def hand(self, district: str) -> str | None:
+        """A ready node in the district, or any ready one."""
+        ready = [name for name in self.nodes if self.ready.get(name)]
+        near = [name for name in ready if self.nodes[name][1] == district]
+        return self.world.chance.choice(near or ready) if ready else None
+
+
+async def call_openly(
+    world: World,
+    desk: Desk,
+    traffic: Traffic,
+    history: History,
+    untilMs: float,
+    client: httpx.AsyncClient,
+    group: Any,
+    tag: str = "",
+) -> None:
+    """Call at the traffic's rate until the time; answers are awaited in tasks of the group."""
+    districts, at = sorted({district for _, district in desk.nodes.values()}), 0
+    while world.nowMs() < untilMs:
+        await world.sleep(world.chance.expovariate(traffic.perS) * 1000)
+        at += 1
+        node = desk.hand(world.chance.choice(districts))
+        call = Call(f"{traffic.service}{tag}-{at}", traffic.service, traffic.repeatable, node or "", world.nowMs())
+        history.calls.append(call)
+        if node is None:
+            call.reason = "no ready node"
+            continue
+        body = traffic.body(world.chance, at)
+        group.start_soon(call_once, world, client, desk.nodes[node][0], traffic, body, call)
+
+
+async def call_once(
+    world: World, client: httpx.AsyncClient, address: str, traffic: Traffic, body: dict[str, Any], call: Call
+) -> None:
+    """One call, to its end."""
+    headers = {
+        "x-request-id": call.requestId,
+        "x-repeatable": "yes" if call.repeatable else "no",
+        "x-due-ms": str(traffic.dueMs),
+    }
+    url = f"http://{address}/v1/chat/completions"
+    try:
+        async with client.stream("POST", url, json=body, headers=headers, timeout=_CALL_WAIT_MS / 1000) as response:
+            call.status = response.status_code
+            call.outcome = response.headers.get("x-outcome", "")
+            call.retryAfter = "retry-after" in response.headers
+            if response.status_code != 200:
+                call.reason = (await response.aread()).decode()[:300]
+                return
+            call.generation = int(response.headers.get("x-generation", "-1"))
+            call.runner = response.headers.get("x-runner", "")
+            call.incarnation = response.headers.get("x-incarnation", "")
+            call.way = response.headers.get("x-way", "")
+            await _read(world, response, call)
+    except httpx.HTTPError as error:
+        call.reason = repr(error)
+    finally:
+        call.endMs = world.nowMs()
+
+
+async def _read(world: World, response: httpx.Response, call: Call) -> None:
+    async for event in EventSource(response).aiter_sse():
+        if call.firstMs < 0:
+            call.firstMs = world.nowMs()
+        if event.data == "[DONE]":
+            call.done = True
+            continue
+        content = json.loads(event.data)
+        if event.event == "error":
+            call.outcome, call.reason = content["error"]["outcome"], content["error"]["message"]
+            continue
+        call.numbers.append(int(event.id))
+        call.pieces.append(content["choices"][0]["delta"]["content"])
+        call.outcome = content.get("outcome", call.outcome)
--- /dev/null
+++ b/src/finchswitch/rehearsal/runner.py
@@ -0,0 +1,167 @@
+"""A stand-in runner: slots, prefill, a prefix cache by memory, late vitals, and the ways in which it can fail.
+
+It speaks the published forms that real ones do: OpenAI's streamed chat completions, Prometheus text with vLLM's
+names for vitals. What it ran is written down as it happens, so that a history can be checked afterwards.
+"""
+
+import json
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, PlainTextResponse, Response
+from starlette.routing import Route
+
+from finchswitch.affinity import opening_of
+from finchswitch.wire import World
+
+__all__ = ["StandInRunner", "Traits"]
+
+
+@dataclass
+class Traits:
+    """How a stand-in runner behaves."""
+
+    slots: int = 50
+    prefillTokensPerS: float = 8_000.0
+    pieceMs: float = 20.0
+    cacheTokens: int = 60_000
+    vitalsLateMs: float = 2_000.0
+    weights: str = "w1"
+
+
+@dataclass
+class Run:
+    """One execution, as the runner saw it."""
+
+    requestId: str
+    runner: str
+    incarnation: str
+    atMs: float
+    prefillTokens: int
+    cached: bool
+    pieces: int = 0
+    whole: bool = False
+
+
+@dataclass
+class StandInRunner:
+    world: World
+    runner: str
+    incarnation: str
+    traits: Traits = field(default_factory=Traits)
+    runs: list[Run] = field(default_factory=list)
+    refusing: bool = False
+    break_after: int | None = None  # pieces after which streams are cut
+    lie: str = ""  # "identity" or "request": answer under a foreign name
+
+    def __post_init__(self) -> None:
+        self._cache: OrderedDict[str, int] = OrderedDict()
+        self._slots = anyio.Semaphore(self.traits.slots)
+        self._prefill = anyio.Lock()
+        self._running = 0
+        self._past: list[tuple[float, int]] = []
+
+    def app(self) -> Starlette:
+        return Starlette(
+            routes=[
+                Route("/identity", self._identity),
+                Route("/metrics", self._metrics),
+                Route("/v1/chat/completions", _Completions(self), methods=["POST"]),
+            ]
+        )
+
+    async def _identity(self, request: Request) -> Response:
+        return JSONResponse({"runner": self.runner, "incarnation": self.incarnation})
+
+    async def _metrics(self, request: Request) -> Response:
+        nowMs = self.world.nowMs()
+        late = [count for atMs, count in self._past if nowMs - atMs >= self.traits.vitalsLateMs]
+        used = sum(self._cache.values()) / self.traits.cacheTokens
+        lines = [
+            "# TYPE vllm:num_requests_running gauge",
+            f"vllm:num_requests_running {late[-1] if late else 0}",
+            "# TYPE vllm:gpu_cache_usage_perc gauge",
+            f"vllm:gpu_cache_usage_perc {min(1.0, used):.3f}",
+        ]
+        return PlainTextResponse("\n".join(lines) + "\n")
+
+    def note(self, change: int) -> None:
+        self._running += change
+        nowMs = self.world.nowMs()
+        self._past = [each for each in self._past if nowMs - each[0] < 3 * self.traits.vitalsLateMs]
+        self._past.append((nowMs, self._running))
+
+    def cached(self, digest: str, tokens: int) -> bool:
+        """Whether the opening was kept; it is afterwards, and the longest unused go."""
+        hit = digest in self._cache
+        self._cache[digest] = tokens
+        self._cache.move_to_end(digest)
+        while sum(self._cache.values()) > self.traits.cacheTokens and len(self._cache) > 1:
+            self._cache.popitem(last=False)
+        return hit
+
+    async def run(self, request_id: str, body: dict[str, Any], send: Any) -> None:
+        opening = opening_of(body["model"], body["messages"])
+        run = Run(request_id, self.runner, self.incarnation, self.world.nowMs(), 0, False)
+        self.runs.append(run)
+        self.note(1)
+        try:
+            async with self._slots:
+                async with self._prefill:
+                    run.cached = self.cached(opening.digest, opening.openingTokens)
+                    run.prefillTokens = opening.ownTokens + (0 if run.cached else opening.openingTokens)
+                    await self.world.sleep(1000 * run.prefillTokens / self.traits.prefillTokensPerS)
+                await self._stream(run, int(body.get("max_tokens", 20)), send)
+        finally:
+            self.note(-1)
+
+    async def _stream(self, run: Run, pieces: int, send: Any) -> None:
+        headers = {
+            "content-type": "text/event-stream",
+            "x-request-id": "another" if self.lie == "request" else run.requestId,
+            "x-runner": "another" if self.lie == "identity" else self.runner,
+            "x-incarnation": self.incarnation,
+            "x-weights": self.traits.weights,
+        }
+        raw = [(name.encode(), value.encode()) for name, value in headers.items()]
+        await send({"type": "http.response.start", "status": 200, "headers": raw})
+        for number in range(1, pieces + 1):
+            if self.break_after is not None and number > self.break_after:
+                raise ConnectionResetError("cut on purpose")
+            delta: dict[str, Any] = {"index": 0, "delta": {"content": f"{run.requestId}:{run.incarnation}:{number} "}}
+            delta["finish_reason"] = "stop" if number == pieces else None
+            chunk = {"id": run.requestId, "object": "chat.completion.chunk", "choices": [delta]}
+            data = f"id: {number}\ndata: {json.dumps(chunk)}\n\n".encode()
+            await send({"type": "http.response.body", "body": data, "more_body": True})
+            run.pieces = number
+            await self.world.sleep(self.traits.pieceMs)
+        run.whole = True
+        await send({"type": "http.response.body", "body": b"data: [DONE]\n\n", "more_body": False})
+
+
+class _Completions:
+    def __init__(self, runner: StandInRunner) -> None:
+        self._runner = runner
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        request = Request(scope, receive)
+        body, requestId = await request.json(), request.headers.get("x-request-id", "")
+        if self._runner.refusing:
+            names = {"x-runner": self._runner.runner, "x-incarnation": self._runner.incarnation}
+            headers = {**names, "x-request-id": requestId, "x-outcome": "not-run"}
+            refusal = JSONResponse({"error": "draining"}, 503, headers=headers)
+            return await refusal(scope, receive, send)
+        async with anyio.create_task_group() as group:
+            group.start_soon(_until_gone, receive, group.cancel_scope)
+            await self._runner.run(requestId, body, send)
+            group.cancel_scope.cancel()
+
+
+async def _until_gone(receive: Any, scope: anyio.CancelScope) -> None:
+    while (await receive())["type"] != "http.disconnect":
+        pass
+    scope.cancel()
--- /dev/null
+++ b/src/finchswitch/transit/doors.py
@@ -0,0 +1,84 @@
+"""The HTTP face of a routing node: callers' requests, and what the platform and operators look at."""
+
+from typing import Any
+
+from starlette.applications import Starlette
+from starlette.exceptions import HTTPException
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from finchswitch.transit.call import answer_call
+from finchswitch.transit.node import Node
+
+__all__ = ["make_doors"]
+
+
+class _Calls:
+    def __init__(self, node: Node) -> None:
+        self._node = node
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        await answer_call(self._node, scope, receive, send)
+
+
+def make_doors(node: Node) -> Starlette:
+    async def ready(request: Request) -> Response:
+        is_ready = node.may_grant() and not node.stopping and bool(node.roster.up())
+        state = "stopping" if node.stopping else node.member.state.value
+        body = {"ready": is_ready, "state": state, "generation": node.generation()}
+        return JSONResponse(body, 200 if is_ready else 503)
+
+    async def vitals(request: Request) -> Response:
+        body = {"calls": node.vitals, "ways": node.ways, "extra_tries": node.tries.made, "underway": len(node.underway)}
+        return JSONResponse({**body, "state": node.member.state.value, "source": node.follower.source})
+
+    async def beliefs(request: Request) -> Response:
+        return JSONResponse(believed(node))
+
+    async def lost(request: Request, error: Exception) -> Response:
+        status = error.status_code if isinstance(error, HTTPException) else 500
+        headers = dict(getattr(error, "headers", None) or {})
+        body = {"error": {"message": getattr(error, "detail", ""), "outcome": "not-run"}}
+        return JSONResponse(body, status, headers={**headers, "x-outcome": "not-run"})
+
+    routes = [
+        Route("/v1/chat/completions", _Calls(node), methods=["POST"]),
+        Route("/ready", ready),
+        Route("/vitals", vitals),
+        Route("/beliefs", beliefs),
+    ]
+    return Starlette(routes=routes, exception_handlers={HTTPException: lost})
+
+
+def believed(node: Node) -> dict[str, Any]:
+    """What this node believes of the fleet, for people and for ``mirror``."""
+    nowMs, creed = node.world.nowMs(), node.creed()
+    runners = {
+        known.incarnation: {
+            "runner": known.runner,
+            "address": known.address,
+            "state": known.walker.state.value,
+            "seats": node.burdens.of(known.incarnation, nowMs).seats,
+            "weights": node.beliefs.weights(known.incarnation),
+            "openings": node.beliefs.counts().get(known.incarnation, 0),
+        }
+        for known in node.roster.known.values()
+    }
+    return {
+        "name": node.member.card["name"],
+        "state": node.member.state.value,
+        "generations": node.news.generations(),
+        "members": sorted(each["name"] for each in node.member.members),
+        "runners": runners,
+        "hot": {name: node.hot(name) for name in sorted(creed.services)},
+        "plans": {name: node.plan_state(name) for name in sorted(creed.plans)},
+        "fences": _fences(node),
+    }
+
+
+def _fences(node: Node) -> dict[str, Any]:
+    fences: dict[str, Any] = {}
+    for part in node.news.generations():
+        fences.update(node.news.body(part).get("fences", {}))
+    return fences
--- /dev/null
+++ b/src/finchswitch/transit/duties.py
@@ -0,0 +1,168 @@
+"""Duties that one node does for all: reading a runner's vitals, merging a service's hot counts, advancing a plan.
+
+Duties are cut by key over the live nodes. A node takes a key up by raising its fence in shared state, and does
+it only while that fence stands; others ignore what comes under an older one.
+"""
+
+import hashlib
+from typing import TYPE_CHECKING, Any
+
+import httpx
+from prometheus_client.parser import text_string_to_metric_families
+
+from finchswitch.accord.document import part_of
+from finchswitch.affinity import pick_hot
+from finchswitch.constants import ASK_WAIT_MS, HOT_MOST, PLAN_STEP_MS, VITALS_POLL_MS
+from finchswitch.logs import prefix
+from finchswitch.mishap import Mishap, MishapKind
+from finchswitch.transit.plans import PlanSight, advance
+from finchswitch.wire import Message
+
+if TYPE_CHECKING:
+    from finchswitch.transit.node import Node
+
+__all__ = ["Duties", "holder_of"]
+
+_log = prefix("duties")
+
+
+def holder_of(key: str, names: list[str]) -> str:
+    """The live node that a key falls to.
+
+    >>> names = ["n1", "n2", "n3"]
+    >>> holder = holder_of("vitals/r1", names)
+    >>> holder_of("vitals/r1", [each for each in names if each == holder or each == "n1"]) == holder
+    True
+    """
+    return max(names, key=lambda name: hashlib.sha256(f"{key} {name}".encode()).digest(), default="")
+
+
+class Duties:
+    def __init__(self, node: "Node") -> None:
+        self._node = node
+        self.vitals: dict[str, list[Any]] = {}
+        self._seen_fences: dict[str, int] = {}
+        self._planMs: dict[str, float] = {}
+
+    async def tend(self) -> None:
+        while True:
+            await self._node.world.sleep(VITALS_POLL_MS)
+            if not self._node.may_grant() or not self._node.member.members:
+                continue
+            names = [each["name"] for each in self._node.member.members]
+            mine = [key for key in self._keys() if holder_of(key, names) == self._node.member.card["name"]]
+            self.vitals = {run: word for run, word in self.vitals.items() if f"vitals/{run}" in mine}
+            for key in mine:
+                try:
+                    fence = await self._hold(key)
+                    if fence is not None:
+                        await self._do(key, fence)
+                except Mishap as mishap:
+                    _log.info("Duty {} met a mishap. {}", key, mishap)
+
+    def _keys(self) -> list[str]:
+        creed = self._node.creed()
+        keys = [f"vitals/{name}" for name in creed.runners]
+        return keys + [f"hot/{name}" for name in creed.services] + [f"plan/{name}" for name in creed.plans]
+
+    def _fence(self, key: str) -> dict[str, Any] | None:
+        record: dict[str, Any] | None = self._node.news.body(part_of(key)).get("fences", {}).get(key)
+        return record
+
+    def _me(self) -> str:
+        return f"{self._node.member.card['name']}/{self._node.member.card['incarnation']}"
+
+    async def _hold(self, key: str) -> int | None:
+        """The fence under which this node holds the key; None when it has only just asked for it."""
+        record = self._fence(key)
+        if record is not None and record["holder"] == self._me():
+            return int(record["fence"])
+        following = {"holder": self._me(), "fence": (record["fence"] if record else 0) + 1}
+        await self._edit(key, record, [{"kind": "fences", "name": key, "value": following}])
+        return None
+
+    async def _edit(self, key: str, guard: Any, edits: list[Message]) -> None:
+        body = {"part": part_of(key), "guards": [{"kind": "fences", "name": key, "value": guard}], "edits": edits}
+        await self._node.book.ask(self._node.member.control, "part.edit", body, 2 * ASK_WAIT_MS)
+
+    async def _do(self, key: str, fence: int) -> None:
+        kind, _, name = key.partition("/")
+        if kind == "vitals":
+            await self._read_vitals(name, fence)
+        elif kind == "hot":
+            await self._merge_hot(key, name, fence)
+        else:
+            await self._advance_plan(key, name, fence)
+
+    async def _read_vitals(self, name: str, fence: int) -> None:
+        known = self._node.roster.up().get(name)
+        if known is None:
+            return
+        askedMs = self._node.world.nowMs()
+        try:
+            response = await known.client.get(f"http://{known.address}/metrics", timeout=ASK_WAIT_MS / 1000)
+        except httpx.HTTPError as error:
+            raise Mishap(MishapKind.SILENT, "vitals", name, repr(error)) from None
+        running = read_running(response.text, name)
+        self.vitals[name] = [fence, known.incarnation, running, askedMs]
+        self._node.burdens.report(known.incarnation, running, askedMs)
+
+    async def _merge_hot(self, key: str, name: str, fence: int) -> None:
+        service, nowMs = self._node.creed().services[name], self._node.world.nowMs()
+        total, counts = self._node.popularity(name).top(4 * HOT_MOST, nowMs)
+        for beat in self._node.member.heard_peers():
+            peerTotal, peerCounts = beat.get("counts", {}).get(name, (0.0, {}))
+            total += peerTotal
+            for digest, count in peerCounts.items():
+                counts[digest] = counts.get(digest, 0.0) + count
+        held = self._node.hot(name)
+        hot = pick_hot(total, counts, held, service.hotMost, service.hotEnterShare, service.hotLeaveShare)
+        if hot != held:
+            value = {"fence": fence, "openings": hot}
+            await self._edit(key, self._fence(key), [{"kind": "hot", "name": name, "value": value}])
+            _log.info("Hot set of {} is {} under fence {}.", name, hot, fence)
+
+    async def _advance_plan(self, key: str, name: str, fence: int) -> None:
+        nowMs = self._node.world.nowMs()
+        if nowMs - self._planMs.get(name, -1e18) < PLAN_STEP_MS:
+            return
+        self._planMs[name] = nowMs
+        plan, held = self._node.creed().plans[name], self._node.plan_state(name)
+        up = self._node.roster.up()
+        seats = sum(
+            self._node.burdens.of(known.incarnation, nowMs).seats
+            for known in self._node.roster.known.values()
+            if known.runner in plan.leaving
+        )
+        sight = PlanSight(all(runner in up for runner in plan.arriving), seats)
+        following = {**advance(plan, held, sight), "fence": fence}
+        if held is None or {**held, "fence": fence} != following:
+            await self._edit(key, self._fence(key), [{"kind": "plans", "name": name, "value": following}])
+            _log.info("Plan {} is {} at share {}.", name, following["phase"], following["share"])
+
+    def words(self) -> dict[str, list[Any]]:
+        """Vitals read here, each with its fence and its age."""
+        nowMs = self._node.world.nowMs()
+        return {name: [fence, inc, run, nowMs - atMs] for name, (fence, inc, run, atMs) in self.vitals.items()}
+
+    def hear(self, words: dict[str, list[Any]]) -> None:
+        """A peer's vitals; older fences are ignored."""
+        for name, (fence, incarnation, running, ageMs) in words.items():
+            if fence >= self._seen_fences.get(name, 0):
+                self._seen_fences[name] = fence
+                self._node.burdens.report(incarnation, running, self._node.world.nowMs() - ageMs)
+
+
+def read_running(text: str, peer: str) -> float:
+    """Requests running at a runner, from its Prometheus text.
+
+    >>> read_running("# TYPE vllm:num_requests_running gauge\\nvllm:num_requests_running 3.0\\n", "r")
+    3.0
+    """
+    try:
+        for family in text_string_to_metric_families(text):
+            if family.name == "vllm:num_requests_running":
+                return sum(float(sample.value) for sample in family.samples)
+    except ValueError as wrong:
+        raise Mishap(MishapKind.BROKEN, "vitals", peer, str(wrong)) from None
+    raise Mishap(MishapKind.BROKEN, "vitals", peer, "no vllm:num_requests_running")
--- /dev/null
+++ b/src/finchswitch/transit/node.py
@@ -0,0 +1,151 @@
+"""A routing node: what it holds, and the seats it grants.
+
+The node owns no truth. Configuration, hot sets and plans come as news, runners from the platform's list, burden
+from its own seats and its peers' word. ``grant`` puts them together for one prompt.
+"""
+
+from typing import Any
+
+from anyio.abc import TaskGroup
+
+from finchswitch.accord.document import part_of
+from finchswitch.affinity import Beliefs, Burdens, Drawn, Draws, Opening, Popularity, Seatable, owners
+from finchswitch.constants import CREED_PART, HOT_MOST
+from finchswitch.creed import Creed, read_creed
+from finchswitch.kinship.member import Member
+from finchswitch.relay import NewsBook
+from finchswitch.relay.follow import Follower
+from finchswitch.transit.duties import Duties
+from finchswitch.transit.plans import PlanPhase, runners_under
+from finchswitch.transit.prompt import Prompt, Refusal
+from finchswitch.transit.roster import Roster
+from finchswitch.transit.seat import Seat
+from finchswitch.transit.tries import Tries
+from finchswitch.wire import Book, Message, World
+
+__all__ = ["Node"]
+
+
+class Node:
+    def __init__(self, world: World, startup: Any, group: TaskGroup) -> None:
+        self.world, self.group, self.startup = world, group, startup
+        self.book, self.news = Book(world, group), NewsBook()
+        card = {
+            "name": startup.name,
+            "address": startup.address,
+            "http": startup.http,
+            "district": startup.district,
+            "incarnation": world.chance.randbytes(6).hex(),
+        }
+        self.member = Member(world, self.book, self.news, card, startup.seeds)
+        self.follower = Follower(world, self.book, self.news, self.member)
+        self.roster = Roster(world, startup.platform)
+        self.beliefs, self.burdens = Beliefs(), Burdens()
+        self.draws = Draws(self.beliefs, self.burdens, world.chance)
+        self.tries, self.duties = Tries(), Duties(self)
+        self.underway: set[str] = set()
+        self.vitals = dict.fromkeys(("asked", "complete", "broken", "not-run", "unknown", "granted"), 0)
+        self.ways: dict[str, int] = {}
+        self.stopping = False
+        self._popularity: dict[str, Popularity] = {}
+        self._creed: tuple[int, Creed] = (-1, Creed())
+
+    def fresh_id(self) -> str:
+        return f"fs-{self.world.chance.randbytes(12).hex()}"
+
+    def generation(self) -> int:
+        return self.news.generation(CREED_PART)
+
+    def creed(self) -> Creed:
+        """The configuration in effect here, read once a generation."""
+        if self._creed[0] != self.generation():
+            self._creed = (self.generation(), read_creed(self.news.body(CREED_PART)).value_or(self._creed[1]))
+        return self._creed[1]
+
+    def tries_share(self) -> float:
+        return self.creed().settings.triesShare
+
+    def may_grant(self) -> bool:
+        return self.member.may_grant()
+
+    def popularity(self, service: str) -> Popularity:
+        return self._popularity.setdefault(service, Popularity())
+
+    def count_opening(self, opening: Opening) -> None:
+        if opening.service in self.creed().services:
+            self.popularity(opening.service).count(opening.digest, self.world.nowMs())
+
+    def hot(self, service: str) -> list[str]:
+        record = self.news.body(part_of(f"hot/{service}")).get("hot", {}).get(service)
+        return list(record["openings"]) if record else []
+
+    def plan_state(self, plan: str) -> dict[str, Any] | None:
+        record: dict[str, Any] | None = self.news.body(part_of(f"plan/{plan}")).get("plans", {}).get(plan)
+        return record
+
+    def runners_of(self, service: str, digest: str) -> tuple[list[str], list[str]] | None:
+        """The runners that may serve a service now, and those that own the opening; None without a binding."""
+        creed = self.creed()
+        for name, binding in creed.bindings.items():
+            if binding.service != service:
+                continue
+            for planName, plan in creed.plans.items():
+                if name in plan.bindings:
+                    held = self.plan_state(planName)
+                    before, after, share = runners_under(plan, binding.runners, held)
+                    phase = PlanPhase(held["phase"]) if held else PlanPhase.WAITING
+                    if phase in (PlanPhase.WAITING, PlanPhase.RETURNED):
+                        return before, before
+                    if phase in (PlanPhase.DRAINING, PlanPhase.DONE):
+                        return after, after
+                    return sorted({*before, *after}), owners(digest, before, after, share)
+            return binding.runners, binding.runners
+        return None
+
+    def grant(self, prompt: Prompt, tried: set[str], beganMs: float) -> tuple[Drawn, float] | Refusal:
+        """A seat for the prompt and the time left until its due, or why there is none."""
+        if not self.may_grant():
+            return Refusal(503, f"this node is {self.member.state.value}")
+        creed, opening, nowMs = self.creed(), prompt.opening, self.world.nowMs()
+        service = creed.services.get(prompt.service)
+        if service is None:
+            return Refusal(404, "model: no such service")
+        able = self.runners_of(prompt.service, opening.digest)
+        if able is None:
+            return Refusal(503, "no binding for this service")
+        up = self.roster.up()
+        seatable = [
+            Seatable(name, up[name].incarnation, creed.runners[name].slots, creed.runners[name].prefillTokensPerS)
+            for name in able[0]
+            if name in up and name not in tried
+        ]
+        if not seatable:
+            return Refusal(503, "no runner may be sent to now")
+        dueMs = (prompt.dueMs or float(service.dueMs)) - (nowMs - beganMs)
+        spillShare = creed.settings.spillShare
+        drawn = self.draws.draw(opening, self.hot(prompt.service), seatable, able[1], spillShare, dueMs, nowMs)
+        if drawn is None:
+            return Refusal(429, "no runner can give a timely first token")
+        return drawn, dueMs
+
+    def take_seat(self, drawn: Drawn) -> Seat:
+        self.vitals["granted"] += 1
+        self.ways[drawn.way.value] = self.ways.get(drawn.way.value, 0) + 1
+        return Seat(self.world, drawn, self.burdens, self.beliefs)
+
+    def speak(self) -> Message:
+        """What this node adds to its beats to peers."""
+        nowMs = self.world.nowMs()
+        return {
+            "burden": self.burdens.spoken(),
+            "leaving": self.roster.leaving(),
+            "listAgeMs": self.roster.listAgeMs(),
+            "counts": {name: each.top(2 * HOT_MOST, nowMs) for name, each in self._popularity.items()},
+            "vitals": self.duties.words(),
+        }
+
+    def hear(self, beat: Message) -> None:
+        """What a peer's beat added."""
+        self.roster.hear_peer(beat["leaving"], beat["listAgeMs"])
+        self.duties.hear(beat["vitals"])
+        self.burdens.hear_peers(self.member.heard_peers())
--- /dev/null
+++ b/src/finchswitch/transit/plans.py
@@ -0,0 +1,91 @@
+"""Move plans: how a plan's phase and share follow from what its duty holder sees.
+
+A plan waits until an arriving runner is listed, shifts homes in steps so that arriving runners warm up a share
+at a time, drains the leaving ones, and is done when nothing of the fleet's is left on them. Abandoned, it goes
+back the same way. Paused, it stays where it is.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+from finchswitch.charts import Walker, load_chart
+from finchswitch.constants import PLAN_STEP_SHARE
+from finchswitch.creed import Plan
+from finchswitch.creed.model import PlanStep
+
+__all__ = ["PlanPhase", "PlanSight", "advance", "runners_under"]
+
+
+class PlanPhase(Enum):
+    WAITING = "waiting"
+    SHIFTING = "shifting"
+    DRAINING = "draining"
+    DONE = "done"
+    RETURNING = "returning"
+    RETURNED = "returned"
+
+
+class PlanEvent(Enum):
+    ARRIVED = "arrived"
+    SHIFTED = "shifted"
+    DRAINED = "drained"
+    ABANDON = "abandon"
+    WENT_BACK = "went-back"
+    RESUME = "resume"
+
+
+_CHART = load_chart("plan", PlanPhase, PlanEvent)
+
+
+@dataclass(frozen=True)
+class PlanSight:
+    """What the duty holder sees of a plan's runners."""
+
+    arrived: bool
+    leavingSeats: float
+
+
+def advance(plan: Plan, held: dict[str, Any] | None, sight: PlanSight) -> dict[str, Any]:
+    """The plan's next standing.
+
+    >>> plan = Plan(leaving=["a"], arriving=["b"], bindings=["m"])
+    >>> one = advance(plan, None, PlanSight(arrived=True, leavingSeats=3))
+    >>> one
+    {'phase': 'shifting', 'share': 0.0}
+    >>> advance(plan, one, PlanSight(True, 3))
+    {'phase': 'shifting', 'share': 0.125}
+    >>> advance(plan, {"phase": "draining", "share": 1.0}, PlanSight(True, 0))
+    {'phase': 'done', 'share': 1.0}
+    """
+    walker, share = Walker(_CHART), float(held["share"]) if held else 0.0
+    walker.state = PlanPhase(held["phase"]) if held else PlanPhase.WAITING
+    if plan.step is PlanStep.PAUSED:
+        return {"phase": walker.state.value, "share": share}
+    if plan.step is PlanStep.ABANDONED:
+        if walker.can(PlanEvent.ABANDON):
+            walker.take(PlanEvent.ABANDON)
+        elif walker.state is PlanPhase.RETURNING:
+            share = max(0.0, share - PLAN_STEP_SHARE)
+        if walker.state is PlanPhase.RETURNING and share == 0.0:
+            walker.take(PlanEvent.WENT_BACK)
+        return {"phase": walker.state.value, "share": share}
+    if walker.can(PlanEvent.RESUME):
+        walker.take(PlanEvent.RESUME)
+    elif walker.state is PlanPhase.WAITING and sight.arrived:
+        walker.take(PlanEvent.ARRIVED)
+    elif walker.state is PlanPhase.SHIFTING and sight.arrived:
+        share = min(1.0, share + PLAN_STEP_SHARE)
+        if share == 1.0:
+            walker.take(PlanEvent.SHIFTED)
+    elif walker.state is PlanPhase.DRAINING and sight.leavingSeats == 0:
+        walker.take(PlanEvent.DRAINED)
+    return {"phase": walker.state.value, "share": share}
+
+
+def runners_under(plan: Plan, bound: list[str], held: dict[str, Any] | None) -> tuple[list[str], list[str], float]:
+    """A binding's runners before and after a plan, and the share of homes that the plan has moved."""
+    after = [each for each in bound if each not in plan.leaving]
+    after += [each for each in plan.arriving if each not in after]
+    share = float(held["share"]) if held else 0.0
+    return bound, after, share
--- /dev/null
+++ b/src/finchswitch/transit/platform.py
@@ -0,0 +1,63 @@
+"""The platform's list of runners, read through an adapter.
+
+The list comes in a published form, the Kubernetes EndpointSliceList of ``discovery.k8s.io/v1``: an endpoint's
+``targetRef`` names the runner (name) and its incarnation (uid), ``conditions`` say whether it is terminating.
+Another platform needs another ``read_list`` and nothing else.
+"""
+
+from dataclasses import dataclass
+from typing import Any
+
+import httpx
+
+from finchswitch.mishap import Mishap, MishapKind
+
+__all__ = ["Listed", "fetch_list", "read_list"]
+
+
+@dataclass(frozen=True)
+class Listed:
+    """A runner as the platform lists it."""
+
+    runner: str
+    incarnation: str
+    address: str
+    leaving: bool
+
+
+def read_list(raw: Any, peer: str) -> list[Listed]:
+    """Read an EndpointSliceList.
+
+    >>> point = {"addresses": ["127.0.0.1"], "conditions": {"ready": True},
+    ...          "targetRef": {"name": "r1", "uid": "u1"}}
+    >>> read_list({"items": [{"ports": [{"port": 80}], "endpoints": [point]}]}, "platform")
+    [Listed(runner='r1', incarnation='u1', address='127.0.0.1:80', leaving=False)]
+    """
+    listed = []
+    try:
+        for part in raw["items"]:
+            port = int(part["ports"][0]["port"])
+            for point in part["endpoints"]:
+                conditions = point.get("conditions", {})
+                leaving = conditions.get("terminating") is True
+                if conditions.get("ready") is False and not leaving:
+                    continue
+                target = point["targetRef"]
+                address = f"{point['addresses'][0]}:{port}"
+                listed.append(Listed(str(target["name"]), str(target["uid"]), address, leaving))
+    except (KeyError, IndexError, TypeError, ValueError, AttributeError) as wrong:
+        raise Mishap(MishapKind.BROKEN, "list", peer, f"not an EndpointSliceList: {wrong!r}") from None
+    return listed
+
+
+async def fetch_list(client: httpx.AsyncClient, address: str, waitMs: float) -> list[Listed]:
+    """Poll the list once."""
+    url = f"http://{address}/apis/discovery.k8s.io/v1/endpointslices"
+    try:
+        response = await client.get(url, timeout=waitMs / 1000)
+        response.raise_for_status()
+        return read_list(response.json(), address)
+    except httpx.HTTPError as error:
+        raise Mishap(MishapKind.SILENT, "list", address, repr(error)) from None
+    except ValueError as error:
+        raise Mishap(MishapKind.BROKEN, "list", address, str(error)) from None
--- /dev/null
+++ b/src/finchswitch/transit/proof.py
@@ -0,0 +1,55 @@
+"""Proof of a runner's identity, spoken on each new connection before any request is put on it.
+
+``GET /identity`` must answer with the runner's id and incarnation as the platform lists them. An old address
+with another process behind it fails here, and no request reaches it.
+"""
+
+import json
+
+import anyio
+import h11
+from anyio.abc import ByteStream
+
+from finchswitch.constants import PROOF_WAIT_MS
+from finchswitch.mishap import Mishap, MishapKind
+
+__all__ = ["RunnerProof"]
+
+
+class RunnerProof:
+    def __init__(self, runner: str, incarnation: str) -> None:
+        self._runner, self._incarnation = runner, incarnation
+
+    async def __call__(self, stream: ByteStream, address: str) -> None:
+        with anyio.fail_after(PROOF_WAIT_MS / 1000):
+            answer = await self._ask(stream, address)
+        if answer.get("runner") != self._runner or answer.get("incarnation") != self._incarnation:
+            shown = f"{answer.get('runner')}/{answer.get('incarnation')}"
+            raise Mishap(MishapKind.REFUSED, "proof", address, f"{shown} is not {self._runner}/{self._incarnation}")
+
+    async def _ask(self, stream: ByteStream, address: str) -> dict[str, object]:
+        connection = h11.Connection(h11.CLIENT)
+        request = h11.Request(method="GET", target="/identity", headers=[("Host", address)])
+        await stream.send((connection.send(request) or b"") + (connection.send(h11.EndOfMessage()) or b""))
+        body, status = b"", 0
+        try:
+            while True:
+                event = connection.next_event()
+                if event is h11.NEED_DATA:
+                    try:
+                        connection.receive_data(await stream.receive())
+                    except anyio.EndOfStream:
+                        connection.receive_data(b"")
+                elif isinstance(event, h11.Response):
+                    status = event.status_code
+                elif isinstance(event, h11.Data):
+                    body += bytes(event.data)
+                else:
+                    break
+            connection.start_next_cycle()
+            answer = json.loads(body)
+        except (h11.ProtocolError, ValueError) as wrong:
+            raise Mishap(MishapKind.BROKEN, "proof", address, repr(wrong)) from None
+        if status != 200 or not isinstance(answer, dict):
+            raise Mishap(MishapKind.REFUSED, "proof", address, f"status {status}")
+        return answer
--- /dev/null
+++ b/src/finchswitch/transit/roster.py
@@ -0,0 +1,123 @@
+"""The roster: the runners this node knows of from the platform's list, one entry an incarnation.
+
+Every node polls the list itself, with or without the core. Leaving is sticky for an incarnation and is also
+believed from any peer. A runner is sent to only while it is listed, not leaving, not down, and the list is not
+too old. Each incarnation has its own HTTP client, whose every connection proves the identity first.
+"""
+
+from enum import Enum
+
+import httpx
+
+from finchswitch.charts import Walker, load_chart
+from finchswitch.constants import DOWN_MS, LIST_POLL_MS, LIST_UNKNOWN_MS, LIST_WAIT_MS, PROOF_WAIT_MS, RUNNER_SILENT_MS
+from finchswitch.logs import prefix
+from finchswitch.mishap import Mishap
+from finchswitch.transit.platform import Listed, fetch_list
+from finchswitch.transit.proof import RunnerProof
+from finchswitch.wire import World
+
+__all__ = ["Known", "Roster", "RunnerState"]
+
+_log = prefix("runners")
+
+
+class RunnerState(Enum):
+    UNLISTED = "unlisted"
+    UP = "up"
+    LEAVING = "leaving"
+
+
+class RunnerEvent(Enum):
+    LISTED = "listed"
+    LEAVES = "leaves"
+    VANISHED = "vanished"
+
+
+_CHART = load_chart("runner", RunnerState, RunnerEvent)
+
+
+class Known:
+    """One incarnation of a runner."""
+
+    def __init__(self, listed: Listed, world: World) -> None:
+        self.runner, self.incarnation, self.address = listed.runner, listed.incarnation, listed.address
+        self.walker = Walker(_CHART, f"{listed.runner}/{listed.incarnation}")
+        self.downUntilMs = 0.0
+        timeout = httpx.Timeout(RUNNER_SILENT_MS / 1000, connect=PROOF_WAIT_MS / 1000)
+        transport = world.http_transport(RunnerProof(listed.runner, listed.incarnation))
+        self.client = httpx.AsyncClient(transport=transport, timeout=timeout, trust_env=False)
+
+
+class Roster:
+    def __init__(self, world: World, platform: str) -> None:
+        self._world, self._platform = world, platform
+        self._client = httpx.AsyncClient(transport=world.http_transport(), trust_env=False)
+        self.known: dict[str, Known] = {}
+        self._polledMs = -1e18
+        self._heardMs = -1e18
+        self._leaving_told: set[str] = set()
+
+    async def poll(self) -> None:
+        while True:
+            askedMs = self._world.nowMs()
+            try:
+                listed = await fetch_list(self._client, self._platform, LIST_WAIT_MS)
+            except Mishap as mishap:
+                _log.warn("The list cannot be read. {}", mishap)
+                await self._world.sleep(LIST_POLL_MS / 10)
+                continue
+            self.take(listed)
+            self._polledMs = askedMs
+            await self._world.sleep(LIST_POLL_MS)
+
+    def take(self, listed: list[Listed]) -> None:
+        """Take one reading of the list."""
+        here = {each.incarnation for each in listed}
+        for each in listed:
+            known = self.known.get(each.incarnation)
+            if known is None or known.address != each.address:
+                known = self.known[each.incarnation] = Known(each, self._world)
+                _log.info("Runner {}/{} is listed at {}.", each.runner, each.incarnation, each.address)
+            leaves = each.leaving or each.incarnation in self._leaving_told
+            self._move(known, RunnerEvent.LEAVES if leaves else RunnerEvent.LISTED)
+        for incarnation, known in self.known.items():
+            if incarnation not in here:
+                self._move(known, RunnerEvent.VANISHED)
+
+    def _move(self, known: Known, event: RunnerEvent) -> None:
+        before = known.walker.state
+        after = known.walker.take(event)
+        if after is not before:
+            _log.info("Runner {}/{} is {}.", known.runner, known.incarnation, after.value)
+
+    def hear_peer(self, leaving: list[str], listAgeMs: float) -> None:
+        """A peer's word: who it saw leaving, and how old its list is."""
+        for incarnation in leaving:
+            if incarnation not in self._leaving_told:
+                self._leaving_told.add(incarnation)
+                if incarnation in self.known:
+                    self._move(self.known[incarnation], RunnerEvent.LEAVES)
+        self._heardMs = max(self._heardMs, self._world.nowMs() - listAgeMs)
+
+    def leaving(self) -> list[str]:
+        return sorted(each.incarnation for each in self.known.values() if each.walker.state is RunnerState.LEAVING)
+
+    def listAgeMs(self) -> float:
+        return min(self._world.nowMs() - self._polledMs, 1e9)
+
+    def readable(self) -> bool:
+        """Whether the list is known well enough to grant seats by it."""
+        return self._world.nowMs() - max(self._polledMs, self._heardMs) <= LIST_UNKNOWN_MS
+
+    def up(self) -> dict[str, Known]:
+        """Runners that may be sent to now, by name."""
+        if not self.readable():
+            return {}
+        nowMs = self._world.nowMs()
+        fit = [k for k in self.known.values() if k.walker.state is RunnerState.UP and k.downUntilMs <= nowMs]
+        return {each.runner: each for each in fit}
+
+    def down(self, known: Known, why: str) -> None:
+        known.downUntilMs = self._world.nowMs() + DOWN_MS
+        _log.info("Runner {} is passed over for now. {}", known.runner, why)
--- /dev/null
+++ b/src/finchswitch/transit/seat.py
@@ -0,0 +1,45 @@
+"""A seat from its grant to its end: its burden is counted while it lasts, and what it taught is kept."""
+
+from enum import Enum
+
+from finchswitch.affinity import Beliefs, Burdens, Drawn
+from finchswitch.charts import Walker, load_chart
+from finchswitch.wire import World
+
+__all__ = ["Seat", "SeatState"]
+
+
+class SeatState(Enum):
+    GRANTED = "granted"
+    STREAMING = "streaming"
+    FREED = "freed"
+
+
+class SeatEvent(Enum):
+    BEGIN = "begin"
+    FREE = "free"
+
+
+_CHART = load_chart("seat", SeatState, SeatEvent)
+
+
+class Seat:
+    def __init__(self, world: World, drawn: Drawn, burdens: Burdens, beliefs: Beliefs) -> None:
+        self._world, self._drawn, self._burdens, self._beliefs = world, drawn, burdens, beliefs
+        self._walker = Walker(_CHART, drawn.runner.runner)
+        self._grantedMs = world.nowMs()
+        burdens.take(drawn.runner.incarnation, drawn.prefillTokens)
+
+    def begun(self, digest: str, weights: str) -> None:
+        """The first piece came: the runner holds the opening now, under these weights."""
+        self._walker.take(SeatEvent.BEGIN)
+        incarnation = self._drawn.runner.incarnation
+        self._burdens.begun(incarnation, self._drawn.prefillTokens)
+        self._beliefs.answered(incarnation, weights)
+        self._beliefs.sent(incarnation, digest, self._world.nowMs())
+
+    def free(self) -> None:
+        if self._walker.state is SeatState.GRANTED:
+            self._burdens.begun(self._drawn.runner.incarnation, self._drawn.prefillTokens)
+        self._walker.take(SeatEvent.FREE)
+        self._burdens.free(self._drawn.runner.incarnation, self._world.nowMs() - self._grantedMs)
--- /dev/null
+++ b/src/finchswitch/wire/client.py
@@ -0,0 +1,113 @@
+"""HTTP client transport over a world's wire, with a proof on each new connection.
+
+httpx and httpcore do the HTTP. What is ours is the place where connections are made: a proof may speak on a
+new connection, and refuse it, before any request is put on it.
+"""
+
+import select
+from collections.abc import Iterable
+from typing import Any, Protocol
+
+import anyio
+import httpcore
+import httpx
+from anyio.abc import ByteStream, SocketAttribute
+
+from finchswitch.mishap import Mishap
+
+__all__ = ["Proof", "make_transport"]
+
+
+class Proof(Protocol):
+    async def __call__(self, stream: ByteStream, address: str) -> None: ...
+
+
+class Dialer(Protocol):
+    async def dial(self, address: str, waitMs: float) -> ByteStream: ...
+
+
+class _Stream(httpcore.AsyncNetworkStream):
+    def __init__(self, stream: ByteStream) -> None:
+        self._stream = stream
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        try:
+            with anyio.fail_after(timeout):
+                return await self._stream.receive(max_bytes)
+        except anyio.EndOfStream:
+            return b""
+        except TimeoutError:
+            raise httpcore.ReadTimeout() from None
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError) as broken:
+            raise httpcore.ReadError(str(broken)) from None
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        try:
+            with anyio.fail_after(timeout):
+                await self._stream.send(buffer)
+        except TimeoutError:
+            raise httpcore.WriteTimeout() from None
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError) as broken:
+            raise httpcore.WriteError(str(broken)) from None
+
+    async def aclose(self) -> None:
+        await anyio.aclose_forcefully(self._stream)
+
+    def get_extra_info(self, info: str) -> Any:
+        if info != "is_readable":
+            return None
+        raw = self._stream.extra(SocketAttribute.raw_socket, None)
+        if raw is None:
+            return bool(getattr(self._stream, "has_news", False))
+        if raw.fileno() < 0:
+            return True
+        poll = select.poll()
+        poll.register(raw.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
+
+class _Backend(httpcore.AsyncNetworkBackend):
+    def __init__(self, dialer: Dialer, proof: Proof | None) -> None:
+        self._dialer, self._proof = dialer, proof
+
+    async def connect_tcp(
+        self,
+        host: str,
+        port: int,
+        timeout: float | None = None,
+        local_address: str | None = None,
+        socket_options: Iterable[Any] | None = None,
+    ) -> httpcore.AsyncNetworkStream:
+        address, waitMs = f"{host}:{port}", (timeout or 5.0) * 1000
+        try:
+            with anyio.fail_after(waitMs / 1000):
+                stream = await self._dialer.dial(address, waitMs)
+                if self._proof is not None:
+                    try:
+                        await self._proof(stream, address)
+                    except BaseException:
+                        with anyio.CancelScope(shield=True):
+                            await anyio.aclose_forcefully(stream)
+                        raise
+        except TimeoutError:
+            raise httpcore.ConnectTimeout(f"connect to {address}") from None
+        except Mishap as mishap:
+            raise httpcore.ConnectError(str(mishap)) from None
+        except (OSError, anyio.BrokenResourceError, anyio.EndOfStream) as broken:
+            raise httpcore.ConnectError(f"connect to {address}: {broken}") from None
+        return _Stream(stream)
+
+    async def sleep(self, seconds: float) -> None:
+        await anyio.sleep(seconds)
+
+
+def make_transport(dialer: Dialer, proof: Proof | None) -> httpx.AsyncBaseTransport:
+    """An httpx transport whose connections come from the dialer."""
+    transport = httpx.AsyncHTTPTransport(trust_env=False)
+    transport._pool = httpcore.AsyncConnectionPool(  # the one seam httpx leaves for a network backend
+        max_connections=None,
+        max_keepalive_connections=100,
+        keepalive_expiry=30.0,
+        network_backend=_Backend(dialer, proof),
+    )
+    return transport
--- /dev/null
+++ b/src/finchswitch/wire/link.py
@@ -0,0 +1,212 @@
+"""Asking and answering over one TCP connection to a peer.
+
+A ``Book`` keeps one link a peer address and matches answers to asks by number. ``serve_asks`` is the other
+end: it puts each ask into a memory stream, from which the program's own loop takes it. A frame of the wrong
+shape closes that one connection and is logged.
+"""
+
+import itertools
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from typing import Any
+
+import anyio
+from anyio.abc import ByteStream, TaskGroup
+from anyio.streams.buffered import BufferedByteReceiveStream
+from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
+
+from finchswitch.constants import ASK_WAIT_MS, DIAL_WAIT_MS, INBOX_MOST
+from finchswitch.logs import prefix
+from finchswitch.mishap import Mishap, MishapKind
+from finchswitch.wire.netstring import Message, pack, unpack_next
+from finchswitch.wire.world import World
+
+__all__ = ["GONE", "Asked", "Book", "field", "serve_asks"]
+
+GONE = "gone"  # the kind under which a closed connection is told to the program's loop
+
+_log = prefix("wire")
+_GONE = (anyio.BrokenResourceError, anyio.ClosedResourceError, anyio.EndOfStream, OSError)
+
+
+def field(body: Message, name: str, kind: type | tuple[type, ...], peer: str = "peer") -> Any:
+    """A field of a message, checked for its type.
+
+    >>> field({"part": "creed"}, "part", str)
+    'creed'
+    """
+    value = body.get(name)
+    if not isinstance(value, kind):
+        raise Mishap(MishapKind.BROKEN, "shape", peer, f"field {name} missing or of the wrong type")
+    return value
+
+
+class _Line:
+    """A connection with its send lock."""
+
+    def __init__(self, stream: ByteStream, peer: str) -> None:
+        self.stream, self.peer = stream, peer
+        self.reader = BufferedByteReceiveStream(stream)
+        self._lock = anyio.Lock()
+
+    async def send(self, message: Message) -> None:
+        frame = pack(message)
+        try:
+            async with self._lock:
+                await self.stream.send(frame)
+        except _GONE:
+            raise Mishap(MishapKind.BROKEN, "send", self.peer, "connection gone") from None
+
+
+class _Link:
+    def __init__(self, line: _Line) -> None:
+        self.line = line
+        self.numbers = itertools.count(1)
+        self.pending: dict[int, MemoryObjectSendStream[Message]] = {}
+        self.received = 0
+        self.open = True
+
+
+class Book:
+    """One link for each peer asked; ``ask`` is all there is to it."""
+
+    def __init__(self, world: World, group: TaskGroup) -> None:
+        self._world, self._group = world, group
+        self._links: dict[str, _Link] = {}
+        self._locks: dict[str, anyio.Lock] = {}
+
+    async def ask(self, address: str, kind: str, body: Message, waitMs: float = ASK_WAIT_MS) -> Message:
+        """Send one ask and return its answer; a Mishap SILENT means that its fate is open."""
+        step = f"ask {kind}"
+        with anyio.move_on_after(waitMs / 1000):
+            link = await self._link(address, step)
+            number = next(link.numbers)
+            send, receive = anyio.create_memory_object_stream[Message](1)
+            link.pending[number], before = send, link.received
+            answered = False
+            try:
+                await link.line.send({"kind": kind, "number": number, "body": body})
+                answer = await receive.receive()
+                answered = True
+            except anyio.EndOfStream:
+                answered = True
+                raise Mishap(MishapKind.SILENT, step, address, "connection lost") from None
+            finally:
+                link.pending.pop(number, None)
+                if not answered and link.received == before:
+                    self._drop(address, link)
+            if "mishap" in answer:
+                raise Mishap(MishapKind.REFUSED, step, address, str(answer["mishap"]))
+            content: Message = field(answer, "body", dict, address)
+            return content
+        raise Mishap(MishapKind.SILENT, step, address, f"no answer in {waitMs:.0f} ms")
+
+    def _drop(self, address: str, link: _Link) -> None:
+        link.open = False
+        if self._links.get(address) is link:
+            del self._links[address]
+        for waiting in link.pending.values():
+            waiting.close()
+
+    async def _link(self, address: str, step: str) -> _Link:
+        async with self._locks.setdefault(address, anyio.Lock()):
+            link = self._links.get(address)
+            if link is not None:
+                return link
+            try:
+                stream = await self._world.dial(address, DIAL_WAIT_MS)
+            except ConnectionRefusedError:
+                raise Mishap(MishapKind.REFUSED, step, address, "connection refused") from None
+            except (OSError, TimeoutError):
+                raise Mishap(MishapKind.SILENT, step, address, "cannot connect") from None
+            link = self._links[address] = _Link(_Line(stream, address))
+            self._group.start_soon(self._read, address, link)
+            return link
+
+    async def _read(self, address: str, link: _Link) -> None:
+        try:
+            while link.open:
+                answer = await unpack_next(link.line.reader, address)
+                if answer is None:
+                    return
+                link.received += 1
+                waiting = link.pending.get(answer.get("number", 0))
+                if waiting is not None:
+                    waiting.send_nowait(answer)
+        except Mishap as mishap:
+            _log.warn("Closed a link. {}", mishap)
+        except _GONE:
+            pass
+        finally:
+            self._drop(address, link)
+            with anyio.CancelScope(shield=True):
+                await anyio.aclose_forcefully(link.line.stream)
+
+
+@dataclass
+class Asked:
+    """An ask that arrived, with the way back."""
+
+    kind: str
+    body: Message
+    peer: str
+    _number: int
+    _line: _Line
+
+    async def answer(self, body: Message) -> None:
+        await self._send({"number": self._number, "body": body})
+
+    async def refuse(self, reason: str) -> None:
+        await self._send({"number": self._number, "mishap": reason})
+
+    async def close(self) -> None:
+        await anyio.aclose_forcefully(self._line.stream)
+
+    async def _send(self, message: Message) -> None:
+        try:
+            await self._line.send(message)
+        except Mishap as mishap:
+            _log.debug("An answer found nobody. {}", mishap)
+
+
+async def _read_asks(stream: ByteStream, peer: str, inbox: MemoryObjectSendStream[Asked]) -> None:
+    line = _Line(stream, peer)
+    try:
+        while (message := await unpack_next(line.reader, peer)) is not None:
+            number, kind = field(message, "number", int, peer), field(message, "kind", str, peer)
+            if kind == GONE:
+                raise Mishap(MishapKind.BROKEN, "shape", peer, "a kind that no peer may send")
+            await inbox.send(Asked(kind, field(message, "body", dict, peer), peer, number, line))
+    except Mishap as mishap:
+        _log.warn("Closed a connection. {}", mishap)
+    except _GONE:
+        pass
+    finally:
+        with anyio.CancelScope(shield=True):
+            await anyio.aclose_forcefully(stream)
+    await inbox.send(Asked(GONE, {}, peer, 0, line))
+
+
+@asynccontextmanager
+async def serve_asks(
+    world: World, address: str, group: TaskGroup
+) -> AsyncIterator[MemoryObjectReceiveStream[Asked]]:
+    """Listen at the address; yields the stream on which asks arrive."""
+    send, receive = anyio.create_memory_object_stream[Asked](INBOX_MOST)
+    listener = await world.listen(address)
+
+    async def accept() -> None:
+        while True:
+            try:
+                stream, peer = await listener.accept()
+            except _GONE:
+                return
+            group.start_soon(_read_asks, stream, peer, send)
+
+    group.start_soon(accept)
+    try:
+        yield receive
+    finally:
+        with anyio.CancelScope(shield=True):
+            await listener.aclose()
--- /dev/null
+++ b/src/finchswitch/wire/netstring.py
@@ -0,0 +1,57 @@
+"""Netstrings of JSON: the one form in which the fleet's processes speak to each other.
+
+A frame is ``<length>:<json object>,``. The length is bounded before anything is read, so a broken or hostile
+peer costs one connection and no memory.
+"""
+
+import json
+from typing import Any
+
+from anyio import DelimiterNotFound, EndOfStream, IncompleteRead
+from anyio.streams.buffered import BufferedByteReceiveStream
+
+from finchswitch.constants import FRAME_DIGITS_MOST, FRAME_MOST_BYTES
+from finchswitch.mishap import Mishap, MishapKind
+
+__all__ = ["Message", "pack", "unpack_next"]
+
+Message = dict[str, Any]
+
+
+def pack(message: Message) -> bytes:
+    """Frame one message.
+
+    >>> pack({"kind": "beat"})
+    b'15:{"kind":"beat"},'
+    """
+    body = json.dumps(message, separators=(",", ":")).encode()
+    if len(body) > FRAME_MOST_BYTES:
+        raise Mishap(MishapKind.LARGE, "pack", "self", f"{len(body)} bytes in one frame")
+    return str(len(body)).encode() + b":" + body + b","
+
+
+async def unpack_next(stream: BufferedByteReceiveStream, peer: str) -> Message | None:
+    """Read one message; None when the peer closed between two frames."""
+    try:
+        head = await stream.receive_until(b":", FRAME_DIGITS_MOST + 1)
+    except DelimiterNotFound:
+        raise Mishap(MishapKind.BROKEN, "frame", peer, "no length") from None
+    except (IncompleteRead, EndOfStream):
+        if stream.buffer:
+            raise Mishap(MishapKind.BROKEN, "frame", peer, "cut in the length") from None
+        return None
+    if not head.isdigit() or int(head) > FRAME_MOST_BYTES:
+        raise Mishap(MishapKind.BROKEN, "frame", peer, f"length {head[:12]!r} not allowed")
+    try:
+        body = await stream.receive_exactly(int(head) + 1)
+    except (IncompleteRead, EndOfStream):
+        raise Mishap(MishapKind.BROKEN, "frame", peer, "cut in the body") from None
+    if body[-1:] != b",":
+        raise Mishap(MishapKind.BROKEN, "frame", peer, "no closing comma")
+    try:
+        message = json.loads(body[:-1])
+    except ValueError:
+        raise Mishap(MishapKind.BROKEN, "frame", peer, "not JSON") from None
+    if not isinstance(message, dict):
+        raise Mishap(MishapKind.BROKEN, "frame", peer, "not an object")
+    return message
--- /dev/null
+++ b/src/finchswitch/wire/real.py
@@ -0,0 +1,78 @@
+"""The real machine: TCP sockets, the system's clock that counts sleep, hypercorn for HTTP."""
+
+import logging
+import time
+from random import Random
+from typing import Any
+
+import anyio
+import httpx
+from anyio.abc import ByteStream, SocketAttribute
+from hypercorn.config import Config
+from hypercorn.trio import serve
+
+from finchswitch.constants import STOP_MOST_MS
+from finchswitch.wire.client import Proof, make_transport
+from finchswitch.wire.world import Listener
+
+__all__ = ["RealWorld", "split_address"]
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Part an address into IP and port.
+
+    >>> split_address("127.0.0.1:7001")
+    ('127.0.0.1', 7001)
+    """
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+class _RealListener:
+    def __init__(self, listener: Any) -> None:
+        self._listener = listener
+
+    async def accept(self) -> tuple[ByteStream, str]:
+        stream: ByteStream = await self._listener.accept()
+        remote = stream.extra(SocketAttribute.remote_address)
+        return stream, f"{remote[0]}:{remote[1]}"
+
+    async def aclose(self) -> None:
+        await self._listener.aclose()
+
+
+class RealWorld:
+    def __init__(self, seed: int | None = None) -> None:
+        self.chance = Random(seed)
+
+    def nowMs(self) -> float:
+        return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000
+
+    async def sleep(self, waitMs: float) -> None:
+        await anyio.sleep(max(0.0, waitMs) / 1000)
+
+    async def dial(self, address: str, waitMs: float) -> ByteStream:
+        host, port = split_address(address)
+        with anyio.fail_after(waitMs / 1000):
+            try:
+                return await anyio.connect_tcp(host, port)
+            except OSError as error:
+                if isinstance(error.__cause__, ConnectionRefusedError):
+                    raise ConnectionRefusedError(str(error)) from None
+                raise
+
+    async def listen(self, address: str) -> Listener:
+        host, port = split_address(address)
+        listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
+        return _RealListener(listener.listeners[0])
+
+    async def serve_http(self, app: Any, address: str, stop: anyio.Event) -> None:
+        config = Config()
+        config.bind = [address]
+        config.graceful_timeout = STOP_MOST_MS / 1000
+        config.keep_alive_timeout = 30
+        config.accesslog, config.errorlog = None, logging.getLogger("hypercorn.quiet")
+        await serve(app, config, shutdown_trigger=stop.wait, mode="asgi")
+
+    def http_transport(self, proof: Proof | None = None) -> httpx.AsyncBaseTransport:
+        return make_transport(self, proof)
