--- a/src/finchswitch/accord/change.py
+++ b/src/finchswitch/accord/change.py
@@ -98,7 +98,7 @@
         try:
             await register.commit(document, succeed(document, edited, recent, document["group"]))
         except Mishap as mishap:
-            _log.warn("Change {} was not committed. {}", change["changeId"], mishap)
+            _log.warning("Change {} was not committed. {}", change["changeId"], mishap)
             if mishap.kind is MishapKind.REFUSED:
                 continue  # another commit came first: judge anew, or find that this node no longer owns
             return _answer(504, reason="fate unknown; ask again with the same change id")
--- a/src/finchswitch/accord/tending.py
+++ b/src/finchswitch/accord/tending.py
@@ -76,7 +76,7 @@
                     await world.sleep(STAND_PAUSE_MS + world.chance.uniform(0, STAND_PAUSE_MS))
         except Mishap as mishap:
             register.step_down("A mishap.")
-            _log.warn("Tending {} met a mishap. {}", part, mishap)
+            _log.warning("Tending {} met a mishap. {}", part, mishap)
 
 
 def _should_stand(council: "Council", part: str, document: Document, nowMs: float) -> bool:
@@ -102,6 +102,6 @@
     swapped = [spares[0] if store == silent[0] else store for store in group]
     await register.commit(document, succeed(document, document["body"], None, swapped))
     council.announce(part)
-    _log.warn("Swapped {} for {} in {}.", silent[0], spares[0], part)
+    _log.warning("Swapped {} for {} in {}.", silent[0], spares[0], part)
 
 
--- a/src/finchswitch/kinship/member.py
+++ b/src/finchswitch/kinship/member.py
@@ -111,7 +111,7 @@
             _log.info("Serving generation {}{}.", held, "" if controlled else ", by the word of peers")
         elif not confirmed and not controlled and self._walker.state is NodeState.SERVING:
             self._walker.take(NodeEvent.CUT)
-            _log.warn("Cut off; no seats until control or half of the peers are heard.")
+            _log.warning("Cut off; no seats until control or half of the peers are heard.")
         return self._walker.state is NodeState.SERVING
 
     def stop(self) -> None:
--- /dev/null
+++ b/src/finchswitch/programs/rehearse.py
@@ -0,0 +1,38 @@
+"""rehearse: failure scenes over seeds, one line a run."""
+
+import time
+from collections import Counter
+
+import typer
+
+from finchswitch.logs import to_stderr
+from finchswitch.rehearsal.report import make_report
+from finchswitch.rehearsal.scenes import SCENES
+from finchswitch.rehearsal.sweep import perform
+
+__all__ = ["run_rehearsal"]
+
+
+def run_rehearsal(scene: str, seeds: str, log: str) -> int:
+    first, _, last = seeds.partition("-")
+    if scene != "all" and scene not in SCENES:
+        typer.echo(f"scene: {scene} is none of {', '.join(SCENES)}", err=True)
+        return 2
+    if not first.isdigit() or not (last or first).isdigit():
+        typer.echo(f"seeds: {seeds} is neither a number nor two with a dash", err=True)
+        return 2
+    to_stderr(log, "rehearsal")
+    failed = 0
+    for name in SCENES if scene == "all" else [scene]:
+        for seed in range(int(first), int(last or first) + 1):
+            beganS = time.monotonic()
+            history, faults = perform(name, seed)
+            report = make_report(history)
+            outcomes = {service: each["outcomes"] for service, each in report["services"].items()}
+            changes = dict(Counter(change.status for change in history.changes))
+            tookS = time.monotonic() - beganS
+            typer.echo(f"{name} {seed}: {'FAILED' if faults else 'held'}, {outcomes}, changes {changes}, {tookS:.1f} s")
+            for fault in faults:
+                typer.echo(f"  {fault}")
+            failed += bool(faults)
+    return 1 if failed else 0
--- a/src/finchswitch/rehearsal/checkers.py
+++ b/src/finchswitch/rehearsal/checkers.py
@@ -65,15 +65,15 @@
 
 
 def acknowledged_in_effect(history: History) -> list[str]:
-    """A call granted two seconds after an acknowledged change sees at least its generation."""
-    breaches = []
+    """A request that reaches its runner two seconds after an acknowledged change sees at least its generation."""
+    breaches, beganMs = [], {(run.requestId, run.incarnation): run.atMs for run in history.runs}
     for change in history.changes:
         if change.status != 200:
             continue
         for call in history.calls:
-            if call.generation >= 0 and call.askedMs > change.answeredMs + _IN_EFFECT_MS:
-                if call.generation < change.generation:
-                    breaches.append(f"{call.node} used {call.generation} after {change.generation} was acknowledged")
+            atMs = beganMs.get((call.requestId, call.incarnation), call.askedMs)
+            if 0 <= call.generation < change.generation and atMs > change.answeredMs + _IN_EFFECT_MS:
+                breaches.append(f"{call.node} used {call.generation} after {change.generation} was acknowledged")
     return breaches
 
 
--- a/src/finchswitch/rehearsal/deployments.py
+++ b/src/finchswitch/rehearsal/deployments.py
@@ -4,7 +4,7 @@
 from random import Random
 from typing import Any
 
-__all__ = ["DEPLOYMENTS", "Deployment", "Traffic"]
+__all__ = ["DEPLOYMENTS", "VILLAGE", "Deployment", "Traffic"]
 
 
 @dataclass(frozen=True)
@@ -82,3 +82,17 @@
         spare=["zuerich-n1"],
     ),
 }
+
+VILLAGE = Deployment(
+    name="village",
+    districts=["hill", "hill", "lake", "lake"],
+    cores=3,
+    runners=3,
+    slots=20,
+    traffic=[
+        Traffic("rulings", 9, 6, 100, 30, 8, False, 3_000),
+        Traffic("rounds", 1, 2, 6_000, 100, 30, True, 8_000),
+    ],
+    spare=["village-n1"],
+)
+DEPLOYMENTS["village"] = VILLAGE
--- a/src/finchswitch/rehearsal/net.py
+++ b/src/finchswitch/rehearsal/net.py
@@ -24,8 +24,8 @@
         self._thawed = anyio.Event()
         self._thawed.set()
         self._stalledUntilMs = -1e18
-        self.streams: set["SimStream"] = set()
-        self.listeners: dict[str, "SimListener"] = {}
+        self.streams: set[SimStream] = set()
+        self.listeners: dict[str, SimListener] = {}
 
     def nowMs(self) -> float:
         return max(anyio.current_time() * 1000, self._stalledUntilMs) + self._bootMs
@@ -158,7 +158,8 @@
 
     def arrive(self, data: bytes, ended: str) -> None:
         if data:
-            atMs = max(anyio.current_time() * 1000 + self._net.delayMs(), self._arrivals[-1][0] if self._arrivals else 0)
+            earlierMs = self._arrivals[-1][0] if self._arrivals else 0.0
+            atMs = max(anyio.current_time() * 1000 + self._net.delayMs(), earlierMs)
             self._arrivals.append((atMs, data))
         self._ended = self._ended or ended
         self._notify()
--- /dev/null
+++ b/src/finchswitch/rehearsal/sweep.py
@@ -0,0 +1,22 @@
+"""The sweep: scenes over many seeds, each judged by the checkers; a failing seed is named and can be replayed."""
+
+from finchswitch.rehearsal.checkers import judge
+from finchswitch.rehearsal.deployments import VILLAGE
+from finchswitch.rehearsal.history import History
+from finchswitch.rehearsal.scenes import SCENES
+from finchswitch.rehearsal.theatre import play
+
+__all__ = ["faults_of", "perform"]
+
+
+def faults_of(history: History) -> list[str]:
+    """Breaches and unmet expectations, a line each."""
+    lines = [f"{name}: {len(found)}, first {found[0]}" for name, found in judge(history).items()]
+    unmet = [what for what, holds in history.notes.get("expected", []) if not holds]
+    return lines + [f"not as expected: {what}" for what in unmet]
+
+
+def perform(name: str, seed: int) -> tuple[History, list[str]]:
+    """One scene under one seed."""
+    history = play(SCENES[name], VILLAGE, seed)
+    return history, faults_of(history)
--- a/src/finchswitch/rehearsal/theatre.py
+++ b/src/finchswitch/rehearsal/theatre.py
@@ -85,8 +85,8 @@
         self._group.start_soon(self._serve_platform)
         for name in [*self.deployment.runner_names(), *self.deployment.spare]:
             self.start_runner(name, f"{name}-i1")
-        for name in self.actors:
-            self.start(name)
+        for actor in [*self.of_kind("accord"), *self.of_kind("transit")]:
+            self.start(actor.name)
         self._group.start_soon(self.desk.look)
 
     async def _serve_platform(self) -> None:
@@ -249,8 +249,8 @@
 
 def play(scene: Callable[[Theatre], Awaitable[None]], deployment: Deployment, seed: int) -> History:
     """Run a scene in virtual time."""
-    trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True  # type: ignore[attr-defined]
-    trio._core._run._r.seed(seed)  # type: ignore[attr-defined]
+    setattr(trio._core._run, "_ALLOW_DETERMINISTIC_SCHEDULING", True)  # noqa: B010
+    trio._core._run._r.seed(seed)
 
     async def run() -> History:
         async with anyio.create_task_group() as group:
--- a/src/finchswitch/transit/asks.py
+++ b/src/finchswitch/transit/asks.py
@@ -40,5 +40,5 @@
         _log.info("Refused {}. {}", asked.kind, mishap)
         await (asked.close() if mishap.kind is MishapKind.BROKEN else asked.refuse(str(mishap)))
     except (KeyError, TypeError, ValueError, AttributeError) as wrong:
-        _log.warn("Closed {} for a message of the wrong shape: {} {!r}.", asked.peer, asked.kind, wrong)
+        _log.warning("Closed {} for a message of the wrong shape: {} {!r}.", asked.peer, asked.kind, wrong)
         await asked.close()
--- a/src/finchswitch/transit/call.py
+++ b/src/finchswitch/transit/call.py
@@ -97,7 +97,7 @@
     except TryMishap as mishap:
         if number == 0:
             raise
-        _log.warn("A stream broke after {} pieces. {}", number, mishap)
+        _log.warning("A stream broke after {} pieces. {}", number, mishap)
         node.vitals["broken"] += 1
         error = {"message": mishap.reason, "type": mishap.step, "outcome": Fate.UNKNOWN.value}
         await _event(send, f"event: error\ndata: {json.dumps({'error': error})}\n\n", more=False)
--- a/src/finchswitch/transit/roster.py
+++ b/src/finchswitch/transit/roster.py
@@ -64,7 +64,7 @@
             try:
                 listed = await fetch_list(self._client, self._platform, LIST_WAIT_MS)
             except Mishap as mishap:
-                _log.warn("The list cannot be read. {}", mishap)
+                _log.warning("The list cannot be read. {}", mishap)
                 await self._world.sleep(LIST_POLL_MS / 10)
                 continue
             self.take(listed)
--- a/src/finchswitch/wire/link.py
+++ b/src/finchswitch/wire/link.py
@@ -135,7 +135,7 @@
                 if waiting is not None:
                     waiting.send_nowait(answer)
         except Mishap as mishap:
-            _log.warn("Closed a link. {}", mishap)
+            _log.warning("Closed a link. {}", mishap)
         except _GONE:
             pass
         finally:
@@ -179,7 +179,7 @@
                 raise Mishap(MishapKind.BROKEN, "shape", peer, "a kind that no peer may send")
             await inbox.send(Asked(kind, field(message, "body", dict, peer), peer, number, line))
     except Mishap as mishap:
-        _log.warn("Closed a connection. {}", mishap)
+        _log.warning("Closed a connection. {}", mishap)
     except _GONE:
         pass
     finally:
--- /dev/null
+++ b/tests/test_affinity.py
@@ -0,0 +1,98 @@
+"""The design's two rules, and what they give way to."""
+
+from random import Random
+
+import pytest
+
+from finchswitch.affinity import Beliefs, Burdens, Draws, Opening, Popularity, Seatable, Way, home_order, pick_hot
+
+RUNNERS = [Seatable(f"r{at}", f"r{at}-i1", 10, 1_000) for at in range(1, 6)]
+NAMES = [each.runner for each in RUNNERS]
+
+
+def opening(name, tokens=100):
+    return Opening("m", name, tokens, 10)
+
+
+@pytest.fixture
+def parts():
+    beliefs, burdens = Beliefs(), Burdens()
+    return beliefs, burdens, Draws(beliefs, burdens, Random(3))
+
+
+def draw(draws, prompt, hot=(), runners=RUNNERS, dueMs=5_000):
+    return draws.draw(prompt, list(hot), list(runners), NAMES, 0.9, dueMs, 0.0)
+
+
+def test_an_opening_that_is_not_hot_goes_to_its_home(parts):
+    for at in range(40):
+        drawn = draw(parts[2], opening(f"o{at}"))
+        assert (drawn.runner.runner, drawn.way) == (home_order(f"o{at}", NAMES)[0], Way.HOME)
+
+
+def test_a_hot_opening_goes_to_any_runner(parts):
+    drawn = [draw(parts[2], opening("o"), hot=["o"]) for _ in range(200)]
+    assert {each.runner.runner for each in drawn} == set(NAMES) and {each.way for each in drawn} == {Way.HOT}
+
+
+def test_a_full_home_gives_way_to_the_next_and_to_few(parts):
+    _, burdens, draws = parts
+    order = home_order("o", NAMES)
+    for at, name in enumerate(order[:3]):
+        assert draw(draws, opening("o")).runner.runner == name
+        assert draw(draws, opening("o")).way is (Way.HOME if at == 0 else Way.SPILL)
+        for _ in range(9):
+            burdens.take(f"{name}-i1", 0)
+    assert draw(draws, opening("o")).runner.runner in order[:3]
+
+
+def test_a_home_that_is_gone_gives_way_and_takes_back(parts):
+    order = home_order("o", NAMES)
+    rest = [each for each in RUNNERS if each.runner != order[0]]
+    drawn = draw(parts[2], opening("o"), runners=rest)
+    assert (drawn.runner.runner, drawn.way) == (order[1], Way.SPILL)
+    assert draw(parts[2], opening("o")).runner.runner == order[0]
+
+
+def test_a_late_home_gives_way_to_a_timely_runner_or_nobody(parts):
+    _, burdens, draws = parts
+    home = home_order("o", NAMES)[0]
+    burdens.take(f"{home}-i1", 9_000)
+    drawn = draw(draws, opening("o"), dueMs=1_000)
+    assert drawn.way is Way.TIMELY and drawn.runner.runner != home
+    for each in RUNNERS:
+        burdens.take(each.incarnation, 9_000)
+    assert draw(draws, opening("o"), dueMs=1_000) is None
+
+
+def test_prefill_counts_the_opening_only_where_it_is_not_believed(parts):
+    beliefs, _, draws = parts
+    home = home_order("o", NAMES)[0]
+    assert draw(draws, opening("o", 3_000)).firstMs == pytest.approx(3_010)
+    beliefs.answered(f"{home}-i1", "w1")
+    beliefs.sent(f"{home}-i1", "o", 0.0)
+    assert draw(draws, opening("o", 3_000)).firstMs == pytest.approx(10)
+    beliefs.answered(f"{home}-i1", "w2")
+    assert draw(draws, opening("o", 3_000)).firstMs == pytest.approx(3_010)
+
+
+def test_a_runner_that_joins_takes_only_what_it_owns():
+    digests = [f"o{at}" for at in range(300)]
+    moved = [d for d in digests if home_order(d, NAMES)[0] != home_order(d, [*NAMES, "r6"])[0]]
+    assert all(home_order(d, [*NAMES, "r6"])[0] == "r6" for d in moved) and 20 < len(moved) < 90
+
+
+def test_openings_seen_once_do_not_push_out_a_hot_one():
+    popularity = Popularity()
+    for at in range(5_000):
+        popularity.count("hot" if at % 3 == 0 else f"once-{at}", at * 5.0)
+    total, counts = popularity.top(3, 25_000.0)
+    assert pick_hot(total, counts, [], 4, 0.25, 0.12) == ["hot"]
+
+
+def test_a_late_report_is_discounted():
+    burdens = Burdens()
+    burdens.take("i", 0)
+    burdens.report("i", 11.0, 0.0)
+    assert burdens.of("i", 1_000.0).seats == pytest.approx(6.0)
+    assert burdens.of("i", 9_000.0).seats == pytest.approx(1.0)
--- /dev/null
+++ b/tests/test_command_line.py
@@ -0,0 +1,105 @@
+"""The command line: checked settings, useful exit codes, and mirror."""
+
+import json
+
+import pytest
+from typer.testing import CliRunner
+
+from finchswitch.programs.cli import app
+from finchswitch.programs.startup import read_startup
+
+RUN = CliRunner()
+SOUND = {
+    "name": "a1",
+    "address": "127.0.0.1:7100",
+    "http": "127.0.0.1:8000",
+    "district": "d",
+    "seeds": ["127.0.0.1:7100", "127.0.0.1:7101", "127.0.0.1:7102"],
+}
+BELIEFS = {"name": "t1", "generations": {"creed": 3}, "members": ["t1"]}
+BELIEFS.update({"runners": {}, "hot": {}, "plans": {}, "fences": {}})
+
+
+@pytest.mark.parametrize(
+    "changed, fault",
+    [
+        ({"address": "box:7100"}, "address: box is not an IP number"),
+        ({"http": "127.0.0.1:70000"}, "http: port 70000 is not within 1 and 65535"),
+        ({"district": None}, "district: missing"),
+        ({"colour": "red"}, "colour: no such setting for accord"),
+        ({"seeds": ["127.0.0.1:1"]}, "seeds: three addresses are needed, 1 given"),
+        ({"http": "127.0.0.1:7100"}, "http: the same as address"),
+        ({"log": "loud"}, "log: one of debug, info, notice, warning, error"),
+        ({"data": "/proc/nowhere"}, "data: /proc/nowhere cannot be written: No such file or directory"),
+    ],
+)
+def test_each_wrong_setting_is_one_line(tmp_path, changed, fault):
+    settings = {**SOUND, "data": str(tmp_path / "data"), **changed}
+    assert read_startup("accord", None, settings).failure() == [fault]
+
+
+def test_a_program_with_wrong_settings_ends_with_2_and_opens_nothing(tmp_path):
+    file = tmp_path / "a.toml"
+    file.write_text('name = "a1"\naddress = "127.0.0.1:7100"\n')
+    result = RUN.invoke(app, ["accord", "--file", str(file), "--data", str(tmp_path / "data")])
+    assert result.exit_code == 2
+    assert result.stderr.splitlines()[0] == "http: missing"
+    assert not (tmp_path / "data").exists()
+
+
+def test_check_names_every_bad_field(tmp_path):
+    file = tmp_path / "c.json"
+    file.write_text('{"services": {"m": {"dueMs": "x"}}, "plans": {"p": 3}, "extra": {}}')
+    result = RUN.invoke(app, ["check", str(file)])
+    assert result.exit_code == 2 and len(result.stderr.splitlines()) == 3
+    file.write_text('{"services": {"m": {}, "m": {}}}')
+    result = RUN.invoke(app, ["check", str(file)])
+    assert result.exit_code == 2 and "m: stands twice" in result.stderr
+
+
+@pytest.mark.parametrize(
+    "changed, fault",
+    [
+        ({"plans": {"p": {"leaving": ["r1", "r2"], "arriving": [], "bindings": ["m"]}}}, "no runner left"),
+        ({"plans": {"p": {"leaving": ["r9"], "arriving": [], "bindings": ["m"]}}}, "unknown runner r9"),
+        (
+            {"plans": {n: {"leaving": ["r1"], "arriving": [], "bindings": ["m"]} for n in "pq"}},
+            "plans.q: r1 is in plan p already",
+        ),
+        ({"bindings": {"m": {"service": "m", "runners": ["r1", "r1"]}}}, "r1 stands twice"),
+        ({"settings": {"triesShare": 0.5}}, "settings.triesShare: 0.5 is not within 0 and 0.2"),
+        ({"runners": {"r1": {"slots": 0}, "r2": {}}}, "runners.r1.slots: 0 is not within 1 and 10000"),
+    ],
+)
+def test_a_configuration_that_cannot_work_is_refused(tmp_path, changed, fault):
+    sound = {
+        "services": {"m": {}},
+        "runners": {"r1": {}, "r2": {}},
+        "bindings": {"m": {"service": "m", "runners": ["r1", "r2"]}},
+    }
+    file = tmp_path / "c.json"
+    file.write_text(json.dumps(sound))
+    assert RUN.invoke(app, ["check", str(file)]).exit_code == 0
+    file.write_text(json.dumps({**sound, **changed}))
+    result = RUN.invoke(app, ["check", str(file)])
+    assert result.exit_code == 2 and fault in result.stderr
+
+
+def test_mirror_tells_same_from_differing_and_names_what_it_cannot_read(tmp_path):
+    one, two, broken = (tmp_path / name for name in ("one", "two", "broken"))
+    one.write_text(json.dumps(BELIEFS))
+    two.write_text(json.dumps({**BELIEFS, "name": "t2", "generations": {"creed": 4}}))
+    broken.write_text("{")
+    assert RUN.invoke(app, ["mirror", str(one), str(one)]).exit_code == 0
+    differing = RUN.invoke(app, ["mirror", str(one), str(two)])
+    assert differing.exit_code == 1 and "generations.creed: 3 / 4" in differing.stdout
+    assert RUN.invoke(app, ["mirror", str(one), str(broken)]).exit_code == 2
+    assert RUN.invoke(app, ["mirror", str(one), "127.0.0.1:1"]).exit_code == 3
+
+
+def test_an_unreachable_desk_is_3_and_an_unknown_fate_is_5(tmp_path):
+    file = tmp_path / "c.json"
+    file.write_text("{}")
+    assert RUN.invoke(app, ["members", "--at", "127.0.0.1:1"]).exit_code == 3
+    sent = RUN.invoke(app, ["change", str(file), "--at", "127.0.0.1:1", "--base", "0", "--id", "x"])
+    assert sent.exit_code == 5 and "--id x --base 0" in sent.stderr
--- /dev/null
+++ b/tests/test_doors.py
@@ -0,0 +1,107 @@
+"""What callers and operators get for input that is wrong, from a fleet that runs."""
+
+import json
+
+import httpx
+
+from finchswitch.rehearsal.deployments import VILLAGE
+from finchswitch.rehearsal.scenes import mark_edit, open_up
+
+GOOD = {"model": "rulings", "stream": True, "messages": [{"role": "user", "content": "hi"}]}
+
+
+def test_callers_mistakes_are_refused_at_once(staged):
+    cases = [
+        (b"{", {}, 400),
+        (b"[]", {}, 400),
+        (json.dumps({**GOOD, "model": "nobody"}).encode(), {}, 404),
+        (json.dumps({**GOOD, "messages": []}).encode(), {}, 400),
+        (json.dumps({**GOOD, "messages": [{"role": "user"}]}).encode(), {}, 400),
+        (json.dumps({**GOOD, "stream": False}).encode(), {}, 400),
+        (json.dumps(GOOD).encode(), {"x-due-ms": "soon"}, 400),
+        (json.dumps(GOOD).encode(), {"x-due-ms": "1"}, 400),
+        (json.dumps(GOOD).encode(), {"x-repeatable": "maybe"}, 400),
+        (json.dumps(GOOD).encode(), {"x-request-id": "x" * 200}, 400),
+        (b"x" * 1_100_000, {}, 413),
+    ]
+    got = []
+
+    async def scene(theatre):
+        await open_up(theatre)
+        async with httpx.AsyncClient(transport=theatre.outside.http_transport()) as client:
+            for body, headers, _ in cases:
+                beganMs = theatre.nowMs()
+                url = "http://10.0.1.1:8000/v1/chat/completions"
+                answer = await client.post(url, content=body, headers=headers)
+                got.append((answer.status_code, answer.headers["x-outcome"], theatre.nowMs() - beganMs < 100))
+            assert (await client.post("http://10.0.1.1:8000/v1/nothing")).status_code == 404
+            assert (await client.get("http://10.0.1.1:8000/v1/chat/completions")).status_code == 405
+
+    history = staged(scene)
+    assert got == [(status, "not-run", True) for _, _, status in cases]
+    assert history.runs == []
+
+
+def test_a_request_id_under_way_is_refused(staged):
+    async def scene(theatre):
+        await open_up(theatre)
+        headers, body = {"x-request-id": "same"}, {**GOOD, "max_tokens": 50}
+        async with httpx.AsyncClient(transport=theatre.outside.http_transport()) as client:
+            url = "http://10.0.1.1:8000/v1/chat/completions"
+            async with client.stream("POST", url, json=body, headers=headers) as first:
+                assert first.status_code == 200
+                second = await client.post(url, json=body, headers=headers)
+                assert second.status_code == 409 and second.headers["x-outcome"] == "not-run"
+                text = (await first.aread()).decode()
+        assert text.count("\nid: ") == 49 and text.endswith("data: [DONE]\n\n")
+
+    assert len(staged(scene).runs) == 1
+
+
+def test_a_caller_that_leaves_frees_its_seat_and_the_runner(staged):
+    async def scene(theatre):
+        await open_up(theatre)
+        body = {**GOOD, "max_tokens": 500}
+        node = theatre.actors["transit1"].node
+        async with httpx.AsyncClient(transport=theatre.outside.http_transport()) as client:
+            async with client.stream("POST", "http://10.0.1.1:8000/v1/chat/completions", json=body) as answer:
+                assert answer.status_code == 200
+                assert node.underway and node.burdens.spoken()
+        await theatre.outside.sleep(500)
+        assert not node.underway and not node.burdens.spoken()
+        assert [run.pieces < 100 for runner in theatre.runners.values() for run in runner.runs] == [True]
+
+    staged(scene)
+
+
+def test_operators_get_the_status_that_fits(staged):
+    async def scene(theatre):
+        await open_up(theatre)
+        desk = "http://10.0.9.1:8000/v1/changes"
+        sound = {"changeId": "a", "base": 1, **mark_edit("mark-a")}
+        wrong_binding = {"kind": "bindings", "name": "x", "value": {"service": "no", "runners": ["no"]}}
+        gone = {"kind": "runners", "name": "never", "value": None}
+        async with httpx.AsyncClient(transport=theatre.outside.http_transport(), timeout=9) as client:
+
+            async def send(content):
+                body = json.dumps(content).encode() if isinstance(content, dict) else content
+                answer = await client.post(desk, content=body)
+                return answer.status_code, answer.json()
+
+            assert (await send(b"{"))[0] == 400
+            assert (await send(b'{"changeId": "a", "base": 1, "base": 2}'))[0] == 400
+            assert (await send({"changeId": "a", "base": 1}))[0] == 422
+            status, answer = await send({"changeId": "b", "base": 1, "edits": [wrong_binding, gone]})
+            assert status == 422 and answer["wrong"] == ["edits.1: runners.never does not exist"]
+            status, answer = await send({"changeId": "b", "base": 1, "edits": [wrong_binding]})
+            assert status == 422 and len(answer["wrong"]) == 2
+            assert (await send(b'{"x": "' + b"y" * 4_300_000 + b'"}'))[0] == 413
+            assert (await send(sound))[1]["generation"] == 2
+            assert (await send(sound)) == (200, {"status": 200, "generation": 2, "nodes": len(VILLAGE.districts)})
+            assert (await send({**sound, **mark_edit("mark-b")}))[0] == 422
+            status, answer = await send({**sound, "changeId": "c"})
+            assert (status, answer["generation"]) == (409, 2)
+            read = (await client.get("http://10.0.9.2:8000/v1/configuration?current=true")).json()
+            assert read["generation"] == 2 and "mark-a" in read["configuration"]["services"]
+
+    staged(scene)
--- /dev/null
+++ b/tests/test_scenes.py
@@ -0,0 +1,22 @@
+"""Each kind of failure once, under a named seed; the sweep is ``finchswitch rehearse``."""
+
+import json
+from dataclasses import asdict
+
+import pytest
+
+from finchswitch.rehearsal.scenes import SCENES
+from finchswitch.rehearsal.sweep import perform
+
+
+@pytest.mark.parametrize("name", SCENES)
+def test_scene_holds(name):
+    history, faults = perform(name, 1)
+    assert faults == []
+    assert len(history.calls) > 10 and len(history.changes) > 1
+
+
+def test_same_seed_same_history():
+    first, second = (perform("races", 7)[0] for _ in range(2))
+    assert [json.dumps(asdict(call)) for call in first.calls] == [json.dumps(asdict(call)) for call in second.calls]
+    assert [asdict(change) for change in first.changes] == [asdict(change) for change in second.changes]
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,65 @@
+"""A peer that speaks badly costs its own connection and nothing else."""
+
+import anyio
+import pytest
+
+from finchswitch.mishap import Mishap, MishapKind
+from finchswitch.rehearsal.scenes import open_up
+from finchswitch.wire import Book
+from finchswitch.wire.netstring import pack
+
+BAD = [
+    b"99999999999:",
+    b"9000000:{",
+    b"abc:{},",
+    b"5:hello,",
+    b"2:{};",
+    b"2:[],",
+    pack({"kind": "beat"}),
+    pack({"kind": "gone", "number": 1, "body": {}}),
+    pack({"kind": "session.beat", "number": 1, "body": {}}),
+    pack({"kind": "vote.prepare", "number": 1, "body": {"part": 5}}),
+    pack({"kind": "news.follow", "number": 1, "body": {"have": [], "holdMs": 1}}),
+    pack({"kind": "nonsense", "number": 1, "body": {}}),
+]
+
+
+@pytest.mark.parametrize("address", ["10.0.1.1:7100", "10.0.9.1:7100"])
+def test_bad_frames_close_one_connection(staged, address):
+    async def scene(theatre):
+        await open_up(theatre)
+        for frame in BAD:
+            stream = await theatre.outside.dial(address, 500)
+            await stream.send(frame)
+            if frame == BAD[1]:
+                await stream.aclose()
+                continue
+            with anyio.fail_after(2), pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)):
+                while True:
+                    await stream.receive()
+        await theatre.call(1_000, 1.0)
+        assert all(call.outcome == "complete" for call in theatre.history.calls)
+
+    assert len(staged(scene).calls) > 3
+
+
+def test_an_ask_is_silent_over_a_cut_and_refused_by_a_closed_door(staged):
+    async def scene(theatre):
+        await open_up(theatre)
+        async with anyio.create_task_group() as group:
+            book = Book(theatre.outside, group)
+            assert (await book.ask("10.0.1.1:7100", "peer.who", {}))["plane"] == "routing"
+            theatre.net.cut("10.0.1.1", "10.0.0.1")
+            with pytest.raises(Mishap) as silent:
+                await book.ask("10.0.1.1:7100", "peer.who", {}, 300)
+            with pytest.raises(Mishap) as refused:
+                await book.ask("10.0.1.2:7999", "peer.who", {}, 300)
+            assert (silent.value.kind, silent.value.step, silent.value.peer) == (
+                MishapKind.SILENT,
+                "ask peer.who",
+                "10.0.1.1:7100",
+            )
+            assert refused.value.kind is MishapKind.REFUSED
+            group.cancel_scope.cancel()
+
+    staged(scene)
