--- a/src/finchswitch/programs/cli.py
+++ b/src/finchswitch/programs/cli.py
@@ -87,7 +87,7 @@
 
 @app.command()
 def stage(
-    deployment: Annotated[str, typer.Argument(help="hobart or zuerich.")],
+    deployment: Annotated[str, typer.Argument(help="hobart, zuerich, or both in turn.")] = "both",
     seconds: Annotated[int, typer.Option(help="How long callers call.")] = 30,
     seed: Annotated[int, typer.Option(help="The seed of callers and faults.")] = 1,
     share: Annotated[float, typer.Option(help="Share of the deployment's request rate.")] = 1.0,
--- a/src/finchswitch/programs/stage.py
+++ b/src/finchswitch/programs/stage.py
@@ -6,6 +6,7 @@
 """
 
 import json
+import shutil
 import signal
 import tempfile
 from dataclasses import asdict
@@ -30,19 +31,27 @@
 def run_stage(
     name: str, seconds: int, seed: int, share: float, faults: bool, keep: Path | None, as_json: bool
 ) -> int:
-    deployment = DEPLOYMENTS.get(name)
-    if deployment is None:
-        typer.echo(f"deployment: {name} is none of {', '.join(sorted(DEPLOYMENTS))}", err=True)
+    if name != "both" and name not in DEPLOYMENTS:
+        typer.echo(f"deployment: {name} is none of both, {', '.join(sorted(DEPLOYMENTS))}", err=True)
         return 2
-    folder = keep or Path(tempfile.mkdtemp(prefix="finchswitch-stage-"))
-    folder.mkdir(parents=True, exist_ok=True)
+    root = keep or Path(tempfile.mkdtemp(prefix="finchswitch-stage-"))
+    names = ["hobart", "zuerich"] if name == "both" else [name]
+    codes = [_stage(DEPLOYMENTS[each], seconds, seed, share, faults, root / each, as_json) for each in names]
+    return max(codes)
+
+
+def _stage(
+    deployment: Deployment, seconds: int, seed: int, share: float, faults: bool, folder: Path, as_json: bool
+) -> int:
+    shutil.rmtree(folder, ignore_errors=True)
+    folder.mkdir(parents=True)
     history = anyio.run(_run, deployment, seconds, seed, share, faults, folder, backend="trio")
     breaches, report = judge(history), make_report(history)
     (folder / "history.json").write_text(json.dumps([asdict(call) for call in history.calls]))
     if as_json:
         typer.echo(json.dumps({"report": report, "breaches": breaches}, indent=2))
     else:
-        typer.echo(f"logs and data in {folder}")
+        typer.echo(f"{deployment.name}, logs and data in {folder}")
         print_report(report, breaches)
     return 1 if breaches else 0
 
