--- /dev/null
+++ b/src/finchswitch/rehearsal/scenes_plans.py
@@ -0,0 +1,139 @@
+"""Scenes of move plans: run to the end, paused, abandoned, and with what may go wrong on the way."""
+
+from typing import Any
+
+import anyio
+
+from finchswitch.rehearsal.scenes import accords, close_up, expect, open_up, pause, scene, transits
+from finchswitch.rehearsal.theatre import Theatre
+
+_LEAVING = "village-r1"
+_ARRIVING = "village-n1"
+
+
+def _plan(step: str = "running", **changed: Any) -> dict[str, Any]:
+    value = {"leaving": [_LEAVING], "arriving": [_ARRIVING], "bindings": ["rulings", "rounds"], "step": step, **changed}
+    return {"edits": [{"kind": "plans", "name": "move", "value": value}]}
+
+
+def _standing(theatre: Theatre) -> tuple[str, float]:
+    """The plan's phase and share, as the first node that runs believes."""
+    for name in transits(theatre):
+        actor = theatre.actors[name]
+        if actor.group is not None and actor.node is not None:
+            held = actor.node.plan_state("move")
+            return (held["phase"], held["share"]) if held else ("none", 0.0)
+    return "none", 0.0
+
+
+async def _until(theatre: Theatre, phase: str, mostMs: float, share: float = 0.0) -> None:
+    untilMs = theatre.nowMs() + mostMs
+    while theatre.nowMs() < untilMs:
+        now = _standing(theatre)
+        if now[0] == phase and now[1] >= share:
+            return
+        await theatre.outside.sleep(100)
+    expect(theatre, False, f"the plan is {phase} within {mostMs:.0f} ms, not {_standing(theatre)}")
+
+
+def _runs_since(theatre: Theatre, incarnation: str, sinceMs: float) -> int:
+    runner = theatre.runners[incarnation]
+    bootMs = runner.world.nowMs() - theatre.nowMs()
+    return sum(run.atMs - bootMs > sinceMs for run in runner.runs)
+
+
+async def _watch_shares(theatre: Theatre, seen: list[float]) -> None:
+    """Every share that any node came to believe, in order."""
+    while _standing(theatre)[0] != "done":
+        nodes = [theatre.actors[name].node for name in transits(theatre)]
+        held = [node.plan_state("move") for node in nodes if node is not None]
+        share = max((each["share"] for each in held if each), default=0.0)
+        if not seen or seen[-1] != share:
+            seen.append(share)
+        await theatre.outside.sleep(20)
+
+
+@scene
+async def plan_to_the_end(theatre: Theatre) -> None:
+    """A plan goes through all its phases while its duty's holders are killed; no step is repeated or skipped."""
+    await open_up(theatre)
+    seen: list[float] = []
+    async with anyio.create_task_group() as group:
+        group.start_soon(theatre.call, 24_000, 1.0)
+        await theatre.insist(_plan())
+        group.start_soon(_watch_shares, theatre, seen)
+        for _ in range(2):
+            await pause(theatre, 3_000)
+            name = theatre.chance.choice([*transits(theatre), *accords(theatre)])
+            theatre.kill(name)
+            await theatre.outside.sleep(1_500)
+            theatre.start(name)
+        await _until(theatre, "done", 24_000)
+    expect(theatre, _standing(theatre)[0] == "done", f"the plan is done: {_standing(theatre)}")
+    expect(theatre, seen == sorted(seen), f"shares only grow: {seen}")
+    steps = {round(after - before, 3) for before, after in zip(seen, seen[1:], strict=False)}
+    expect(theatre, steps <= {0.125}, f"one step after the other: {steps}")
+    doneMs = theatre.nowMs()
+    await theatre.call(2_000, 1.0, "-moved")
+    expect(theatre, _runs_since(theatre, f"{_LEAVING}-i1", doneMs) == 0, "nothing more for the leaving runner")
+    expect(theatre, _runs_since(theatre, f"{_ARRIVING}-i1", doneMs) > 0, "the arriving runner serves")
+    await close_up(theatre)
+
+
+@scene
+async def plan_paused_and_abandoned(theatre: Theatre) -> None:
+    """A plan is paused under way, stays, goes on, is abandoned, and goes back."""
+    await open_up(theatre)
+    async with anyio.create_task_group() as group:
+        group.start_soon(theatre.call, 20_000, 0.5)
+        await theatre.insist(_plan())
+        await _until(theatre, "shifting", 8_000, share=0.25)
+        await theatre.insist(_plan("paused"))
+        await theatre.outside.sleep(1_500)
+        held = _standing(theatre)
+        await theatre.outside.sleep(3_000)
+        expect(theatre, _standing(theatre) == held, f"paused at {held}, now {_standing(theatre)}")
+        await theatre.insist(_plan())
+        await _until(theatre, "shifting", 5_000, share=held[1] + 0.125)
+        await theatre.insist(_plan("abandoned"))
+        await _until(theatre, "returned", 15_000)
+    backMs = theatre.nowMs()
+    await theatre.call(2_000, 1.0, "-back")
+    expect(theatre, _runs_since(theatre, f"{_ARRIVING}-i1", backMs) == 0, "nothing more for the arriving runner")
+    expect(theatre, _runs_since(theatre, f"{_LEAVING}-i1", backMs) > 0, "the old runner serves again")
+    await close_up(theatre)
+
+
+@scene
+async def plan_met_by_failure(theatre: Theatre) -> None:
+    """The arriving runner comes late, and the leaving one dies before it was drained."""
+    await open_up(theatre)
+    shown = theatre.platform.points.pop(f"{_ARRIVING}-i1")
+    async with anyio.create_task_group() as group:
+        group.start_soon(theatre.call, 20_000, 1.0)
+        await theatre.insist(_plan())
+        await theatre.outside.sleep(3_000)
+        expect(theatre, _standing(theatre)[0] in ("waiting", "none"), f"waits for the runner: {_standing(theatre)}")
+        theatre.platform.points[f"{_ARRIVING}-i1"] = shown
+        await _until(theatre, "shifting", 5_000, share=0.25)
+        theatre.history.failed.add(f"{_LEAVING}-i1")
+        theatre.kill(f"{_LEAVING}-i1")
+        await pause(theatre, 1_000)
+        theatre.platform.remove(f"{_LEAVING}-i1")
+        await _until(theatre, "done", 16_000)
+    await close_up(theatre)
+
+
+@scene
+async def plan_overlap(theatre: Theatre) -> None:
+    """A second plan that shares a runner with the first is refused with the reason, and nothing changes."""
+    await open_up(theatre)
+    await theatre.insist(_plan("paused"))
+    other = {"leaving": [_LEAVING], "arriving": ["village-r2"], "bindings": [], "step": "running"}
+    base = theatre.newest()
+    refused = await theatre.change(base, {"edits": [{"kind": "plans", "name": "other", "value": other}]})
+    expect(theatre, refused.status == 422, f"the overlapping plan is {refused.status}")
+    await theatre.outside.sleep(500)
+    held = {theatre.actors[name].node.generation() for name in transits(theatre)}  # type: ignore[union-attr]
+    expect(theatre, held == {base}, f"generation {base} still stands: {held}")
+    await close_up(theatre)
--- a/src/finchswitch/rehearsal/theatre.py
+++ b/src/finchswitch/rehearsal/theatre.py
@@ -1,7 +1,7 @@
 """A theatre: a whole fleet in one process and in virtual time, with hands to break it and a history to judge.
 
 The planes are the very ones that the programs run. What is simulated is the machine under them: wire, disk and
-clock. ``play`` runs a scene on a theatre and returns its history; the same seed gives the same history.
+clock. See ``play`` for how a scene is run.
 """
 
 from collections.abc import Awaitable, Callable
@@ -11,9 +11,7 @@
 
 import anyio
 import httpx
-import trio
 from anyio.abc import TaskGroup
-from trio.testing import MockClock
 
 from finchswitch.accord.asks import run_council
 from finchswitch.accord.council import Council
@@ -32,7 +30,7 @@
 from finchswitch.transit.doors import make_doors
 from finchswitch.transit.node import Node
 
-__all__ = ["Theatre", "play"]
+__all__ = ["Theatre"]
 
 
 @dataclass
@@ -245,21 +243,3 @@
             self.history.runs += [RunSeen(**{**vars(run), "atMs": run.atMs - bootMs}) for run in runner.runs]
         self.history.allowed |= {each for each in self.runners if self.runners[each].runner != "stranger"}
         return self.history
-
-
-def play(scene: Callable[[Theatre], Awaitable[None]], deployment: Deployment, seed: int) -> History:
-    """Run a scene in virtual time."""
-    setattr(trio._core._run, "_ALLOW_DETERMINISTIC_SCHEDULING", True)  # noqa: B010
-    trio._core._run._r.seed(seed)
-
-    async def run() -> History:
-        async with anyio.create_task_group() as group:
-            theatre = Theatre(deployment, seed, group)
-            theatre.start_all()
-            await scene(theatre)
-            history = theatre.close()
-            group.cancel_scope.cancel()
-        return history
-
-    options = {"clock": MockClock(autojump_threshold=0)}
-    return anyio.run(run, backend="trio", backend_options=options)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,7 +7,8 @@
 
 from finchswitch.rehearsal.deployments import VILLAGE
 from finchswitch.rehearsal.history import History
-from finchswitch.rehearsal.theatre import Theatre, play
+from finchswitch.rehearsal.play import play
+from finchswitch.rehearsal.theatre import Theatre
 
 
 @pytest.fixture(autouse=True)
