A runner's pace: seats waiting past their estimate raise it, and peers tell each other

Cause: the estimate of a first token knew only the configured prefill speed, so with slow runners callers were seated behind a long cold prefill and gave up at twice their due. Also, a plan's step is now guarded by the standing it was computed from.

--- a/src/finchswitch/affinity/draw.py
+++ b/src/finchswitch/affinity/draw.py
@@ -42,6 +42,7 @@
     runner: Seatable
     way: Way
     prefillTokens: int
+    plainMs: float
     firstMs: float
 
 
@@ -57,7 +58,8 @@
         waiting = max(0.0, load.seats + 1 - runner.slots)
         waitMs = waiting * self._burdens.seatMs(runner.incarnation) / runner.slots
         prefillMs = 1000 * (load.prefillTokens + tokens) / runner.prefillTokensPerS
-        return Drawn(runner, way, tokens, waitMs + prefillMs)
+        plainMs = waitMs + prefillMs
+        return Drawn(runner, way, tokens, plainMs, plainMs * self._burdens.pace(runner.incarnation, nowMs))
 
     def draw(
         self,
--- a/src/finchswitch/transit/duties.py
+++ b/src/finchswitch/transit/duties.py
@@ -81,8 +81,9 @@
         await self._edit(key, record, [{"kind": "fences", "name": key, "value": following}])
         return None
 
-    async def _edit(self, key: str, guard: Any, edits: list[Message]) -> None:
-        body = {"part": part_of(key), "guards": [{"kind": "fences", "name": key, "value": guard}], "edits": edits}
+    async def _edit(self, key: str, guard: Any, edits: list[Message], also: list[Message] | None = None) -> None:
+        guards = [{"kind": "fences", "name": key, "value": guard}, *(also or [])]
+        body = {"part": part_of(key), "guards": guards, "edits": edits}
         await self._node.book.ask(self._node.member.control, "part.edit", body, 2 * ASK_WAIT_MS)
 
     async def _do(self, key: str, fence: int) -> None:
@@ -137,7 +138,9 @@
         sight = PlanSight(all(runner in up for runner in plan.arriving), seats)
         following = {**advance(plan, held, sight), "fence": fence}
         if held is None or {**held, "fence": fence} != following:
-            await self._edit(key, self._fence(key), [{"kind": "plans", "name": name, "value": following}])
+            edits = [{"kind": "plans", "name": name, "value": following}]
+            also = [{"kind": "plans", "name": name, "value": held}]
+            await self._edit(key, self._fence(key), edits, also)
             _log.info("Plan {} is {} at share {}.", name, following["phase"], following["share"])
 
     def words(self) -> dict[str, list[Any]]:
--- a/src/finchswitch/transit/node.py
+++ b/src/finchswitch/transit/node.py
@@ -138,6 +138,7 @@
         nowMs = self.world.nowMs()
         return {
             "burden": self.burdens.spoken(),
+            "pace": self.burdens.spoken_pace(nowMs),
             "leaving": self.roster.leaving(),
             "listAgeMs": self.roster.listAgeMs(),
             "counts": {name: each.top(2 * HOT_MOST, nowMs) for name, each in self._popularity.items()},
--- a/src/finchswitch/transit/seat.py
+++ b/src/finchswitch/transit/seat.py
@@ -29,17 +29,24 @@
         self._walker = Walker(_CHART, drawn.runner.runner)
         self._grantedMs = world.nowMs()
         burdens.take(drawn.runner.incarnation, drawn.prefillTokens)
+        burdens.await_first(self, drawn.runner.incarnation, drawn.plainMs, self._grantedMs)
 
     def begun(self, digest: str, weights: str) -> None:
         """The first piece came: the runner holds the opening now, under these weights."""
         self._walker.take(SeatEvent.BEGIN)
-        incarnation = self._drawn.runner.incarnation
+        incarnation, nowMs = self._drawn.runner.incarnation, self._world.nowMs()
+        self._burdens.no_wait(self, incarnation)
+        self._burdens.saw_first(incarnation, self._drawn.plainMs, nowMs - self._grantedMs, nowMs)
         self._burdens.begun(incarnation, self._drawn.prefillTokens)
         self._beliefs.answered(incarnation, weights)
-        self._beliefs.sent(incarnation, digest, self._world.nowMs())
+        self._beliefs.sent(incarnation, digest, nowMs)
 
     def free(self) -> None:
+        incarnation, nowMs = self._drawn.runner.incarnation, self._world.nowMs()
+        self._burdens.no_wait(self, incarnation)
         if self._walker.state is SeatState.GRANTED:
-            self._burdens.begun(self._drawn.runner.incarnation, self._drawn.prefillTokens)
+            self._burdens.begun(incarnation, self._drawn.prefillTokens)
+            if nowMs - self._grantedMs > self._drawn.firstMs:
+                self._burdens.saw_first(incarnation, self._drawn.plainMs, nowMs - self._grantedMs, nowMs)
         self._walker.take(SeatEvent.FREE)
-        self._burdens.free(self._drawn.runner.incarnation, self._world.nowMs() - self._grantedMs)
+        self._burdens.free(incarnation, nowMs - self._grantedMs)
