--- a/src/finchswitch/affinity/beliefs.py
+++ b/src/finchswitch/affinity/beliefs.py
@@ -12,7 +12,8 @@
 
 
 class Beliefs:
-    def __init__(self) -> None:
+    def __init__(self, keptMs: float = BELIEF_MS) -> None:
+        self._keptMs = keptMs
         self._kept: dict[str, OrderedDict[str, float]] = {}
         self._weights: dict[str, str] = {}
 
@@ -34,7 +35,7 @@
     def holds(self, incarnation: str, digest: str, nowMs: float) -> bool:
         kept = self._kept.get(incarnation)
         atMs = kept.get(digest) if kept else None
-        return atMs is not None and nowMs - atMs <= BELIEF_MS
+        return atMs is not None and nowMs - atMs <= self._keptMs
 
     def weights(self, incarnation: str) -> str:
         return self._weights.get(incarnation, "")
--- a/src/finchswitch/affinity/draw.py
+++ b/src/finchswitch/affinity/draw.py
@@ -75,21 +75,32 @@
 
         ``homes`` names the runners that own openings, among them such as cannot be seated now.
         """
-        by_name = {each.runner: each for each in runners}
-        if not by_name:
+        if not runners:
             return None
-        if opening.digest in hot:
-            pair = self._chance.sample(sorted(by_name), min(2, len(by_name)))
-            both = [self.estimate(opening, by_name[name], Way.HOT, nowMs) for name in pair]
-            first = min(both, key=lambda each: self._share(each.runner, nowMs))
-        else:
-            first = self._home(opening, by_name, homes, spillShare, nowMs)
+        first = self._first(opening, hot, runners, homes, spillShare, nowMs)
         if first.firstMs <= dueMs:
             return first
         others = [self.estimate(opening, each, Way.TIMELY, nowMs) for each in runners]
         timely = min(others, key=lambda each: each.firstMs)
         return timely if timely.firstMs <= dueMs else None
 
+    def _first(
+        self,
+        opening: Opening,
+        hot: list[str],
+        runners: list[Seatable],
+        homes: list[str],
+        spillShare: float,
+        nowMs: float,
+    ) -> Drawn:
+        """The design's two rules, before time is looked at."""
+        by_name = {each.runner: each for each in runners}
+        if opening.digest in hot:
+            pair = self._chance.sample(sorted(by_name), min(2, len(by_name)))
+            both = [self.estimate(opening, by_name[name], Way.HOT, nowMs) for name in pair]
+            return min(both, key=lambda each: self._share(each.runner, nowMs))
+        return self._home(opening, by_name, homes, spillShare, nowMs)
+
     def _home(
         self, opening: Opening, by_name: dict[str, Seatable], homes: list[str], spillShare: float, nowMs: float
     ) -> Drawn:
--- a/src/finchswitch/programs/cli.py
+++ b/src/finchswitch/programs/cli.py
@@ -113,5 +113,24 @@
     raise typer.Exit(run_rehearsal(scene, seeds, log))
 
 
+@app.command()
+def measure(
+    deployment: Annotated[str, typer.Option(help="hobart or zuerich.")] = "hobart",
+    condition: Annotated[str, typer.Option(help="steady, crowd, lost or plan.")] = "steady",
+    draw: Annotated[str, typer.Option(help="design, random or least.")] = "design",
+    seed: Annotated[int, typer.Option(help="The seed.")] = 1,
+    seconds: Annotated[int, typer.Option(help="Virtual seconds of calls.")] = 15,
+    hot_most: Annotated[int | None, typer.Option(help="Size of the hot set.")] = None,
+    spill_share: Annotated[float | None, typer.Option(help="Burden past which a home spills.")] = None,
+    belief_ms: Annotated[float | None, typer.Option(help="Age past which a belief is dropped.")] = None,
+) -> None:
+    """Measure a way to draw in virtual time; prints one line of JSON."""
+    from finchswitch.programs.rehearse import run_measure
+    from finchswitch.rehearsal.measure import Trial
+
+    trial = Trial(deployment, condition, draw, seed, seconds, hot_most, spill_share, belief_ms)
+    raise typer.Exit(run_measure(trial))
+
+
 def main() -> None:
     app()
--- a/src/finchswitch/programs/rehearse.py
+++ b/src/finchswitch/programs/rehearse.py
@@ -1,15 +1,19 @@
 """rehearse: failure scenes over seeds, one line a run."""
 
+import json
 import time
 from collections import Counter
 
 import typer
 
 from finchswitch.logs import to_stderr
+from finchswitch.rehearsal.deployments import DEPLOYMENTS
+from finchswitch.rehearsal.measure import CONDITIONS, Trial, measure
 from finchswitch.rehearsal.report import make_report
+from finchswitch.rehearsal.rivals import RIVALS
 from finchswitch.rehearsal.sweep import ALL, perform
 
-__all__ = ["run_rehearsal"]
+__all__ = ["run_measure", "run_rehearsal"]
 
 
 def run_rehearsal(scene: str, seeds: str, log: str) -> int:
@@ -35,3 +39,14 @@
                 typer.echo(f"  {fault}")
             failed += bool(faults)
     return 1 if failed else 0
+
+
+def run_measure(trial: Trial) -> int:
+    known = {"deployment": DEPLOYMENTS, "condition": CONDITIONS, "draw": RIVALS}
+    for name, choices in known.items():
+        if getattr(trial, name) not in choices:
+            typer.echo(f"{name}: {getattr(trial, name)} is none of {', '.join(choices)}", err=True)
+            return 2
+    to_stderr("critical", "measure")
+    typer.echo(json.dumps(measure(trial)))
+    return 0
--- /dev/null
+++ b/src/finchswitch/rehearsal/measure.py
@@ -0,0 +1,100 @@
+"""Measuring the design in the theatre: the same seed, deployment and condition under one draw or another."""
+
+from collections import Counter
+from dataclasses import dataclass, replace
+from typing import Any
+
+import anyio
+
+from finchswitch.affinity import Beliefs, Draws
+from finchswitch.rehearsal.checkers import judge
+from finchswitch.rehearsal.deployments import DEPLOYMENTS, Deployment
+from finchswitch.rehearsal.history import History
+from finchswitch.rehearsal.play import play
+from finchswitch.rehearsal.report import make_report
+from finchswitch.rehearsal.rivals import RIVALS
+from finchswitch.rehearsal.theatre import Theatre
+
+__all__ = ["CONDITIONS", "Trial", "measure"]
+
+CONDITIONS = ("steady", "crowd", "lost", "plan")
+
+
+@dataclass(frozen=True)
+class Trial:
+    deployment: str
+    condition: str
+    draw: str
+    seed: int
+    seconds: int = 15
+    hotMost: int | None = None
+    spillShare: float | None = None
+    beliefMs: float | None = None
+
+
+def measure(trial: Trial) -> dict[str, Any]:
+    """One trial's figures."""
+
+    async def scene(theatre: Theatre) -> None:
+        await _conduct(theatre, trial)
+
+    history = play(scene, _deployment(trial), trial.seed)
+    return {**vars(trial), **_figures(history), "breaches": sorted(judge(history))}
+
+
+def _deployment(trial: Trial) -> Deployment:
+    deployment = DEPLOYMENTS[trial.deployment]
+    if trial.condition == "crowd":  # one opening draws most of the short traffic, at half as much again
+        short = replace(deployment.traffic[0], perS=deployment.traffic[0].perS * 1.5, skew=3.0)
+        return replace(deployment, traffic=[short, *deployment.traffic[1:]])
+    return deployment
+
+
+async def _conduct(theatre: Theatre, trial: Trial) -> None:
+    creed = theatre.deployment.creed()
+    for service in creed["services"].values():
+        service.update({} if trial.hotMost is None else {"hotMost": trial.hotMost})
+    creed["settings"].update({} if trial.spillShare is None else {"spillShare": trial.spillShare})
+    for actor in theatre.of_kind("transit"):
+        node = actor.node
+        while node is None:
+            await theatre.outside.sleep(10)
+            node = actor.node
+        if trial.beliefMs is not None:
+            node.beliefs = Beliefs(trial.beliefMs)
+        node.draws = _draws(trial.draw, node.beliefs, node.burdens, node.world.chance)
+    await theatre.insist({"configuration": creed})
+    await theatre.settle()
+    async with anyio.create_task_group() as group:
+        group.start_soon(theatre.call, 1000 * trial.seconds, 1.0)
+        await theatre.outside.sleep(1000 * trial.seconds / 4)
+        first = theatre.deployment.runner_names()[0]
+        if trial.condition == "lost":
+            theatre.history.failed.add(f"{first}-i1")
+            theatre.kill(f"{first}-i1")
+            theatre.platform.remove(f"{first}-i1")
+        elif trial.condition == "plan":
+            bindings = [each.service for each in theatre.deployment.traffic]
+            value = {"leaving": [first], "arriving": theatre.deployment.spare, "bindings": bindings}
+            await theatre.insist({"edits": [{"kind": "plans", "name": "move", "value": value}]})
+
+
+def _draws(name: str, *parts: Any) -> Draws:
+    return RIVALS[name](*parts)
+
+
+def _figures(history: History) -> dict[str, Any]:
+    report = make_report(history)
+    runs = Counter(run.runner for run in history.runs)
+    mean = sum(runs.values()) / max(1, len(runs))
+    refused = sum(call.status == 429 or call.status == 503 for call in history.calls)
+    firsts = {name: each["first_ms"] for name, each in report["services"].items()}
+    return {
+        "calls": len(history.calls),
+        "hits": report["hit_share"],
+        "prefill": report["prefill_tokens"],
+        "firstMs": firsts,
+        "refused": refused,
+        "complete": sum(call.outcome == "complete" for call in history.calls),
+        "spread": round(max(runs.values(), default=0) / max(1.0, mean), 2),
+    }
