Peers tell large openings held; those on their way count; hot ones copied slowly

Cause: each node alone took the first prompts of a large opening for cold, counted their prefill again and again, and sent them elsewhere, where they were cold indeed; short prompts were then refused. This tells peers beliefs, which the source does not; see design.md.

--- a/src/finchswitch/affinity/beliefs.py
+++ b/src/finchswitch/affinity/beliefs.py
@@ -5,8 +5,10 @@
 """
 
 from collections import OrderedDict
+from typing import Any
 
-from finchswitch.constants import BELIEF_MS, BELIEFS_MOST
+from finchswitch.affinity.opening import Opening
+from finchswitch.constants import BELIEF_MS, BELIEFS_MOST, TOLD_MOST, TOLD_TOKENS
 
 __all__ = ["Beliefs"]
 
@@ -16,6 +18,26 @@
         self._keptMs = keptMs
         self._kept: dict[str, OrderedDict[str, float]] = {}
         self._weights: dict[str, str] = {}
+        self._coming: dict[tuple[str, str], int] = {}
+        self._large: dict[str, OrderedDict[str, None]] = {}
+        self._told: set[tuple[str, str]] = set()
+
+    def granted(self, incarnation: str, opening: Opening) -> None:
+        """A prompt is on its way; what follows it there finds the opening prefilled, or waits for the same prefill."""
+        digest = opening.digest
+        if opening.openingTokens >= TOLD_TOKENS:
+            large = self._large.setdefault(incarnation, OrderedDict())
+            large[digest] = None
+            large.move_to_end(digest)
+            if len(large) > TOLD_MOST:
+                large.popitem(last=False)
+        self._coming[incarnation, digest] = self._coming.get((incarnation, digest), 0) + 1
+
+    def settled(self, incarnation: str, digest: str) -> None:
+        """That prompt began to answer, or never will."""
+        left = self._coming.pop((incarnation, digest)) - 1
+        if left:
+            self._coming[incarnation, digest] = left
 
     def sent(self, incarnation: str, digest: str, nowMs: float) -> None:
         """A runner began to answer a prompt with this opening."""
@@ -30,9 +52,15 @@
         before = self._weights.get(incarnation)
         if before is not None and before != weights:
             self._kept.pop(incarnation, None)
+            self._large.pop(incarnation, None)
         self._weights[incarnation] = weights
 
     def holds(self, incarnation: str, digest: str, nowMs: float) -> bool:
+        return (incarnation, digest) in self._told or self._own(incarnation, digest, nowMs)
+
+    def _own(self, incarnation: str, digest: str, nowMs: float) -> bool:
+        if (incarnation, digest) in self._coming:
+            return True
         kept = self._kept.get(incarnation)
         atMs = kept.get(digest) if kept else None
         return atMs is not None and nowMs - atMs <= self._keptMs
@@ -42,7 +70,25 @@
 
     def forget(self, incarnation: str) -> None:
         self._kept.pop(incarnation, None)
+        self._large.pop(incarnation, None)
         self._weights.pop(incarnation, None)
 
+    def spoken(self, nowMs: float) -> dict[str, list[Any]]:
+        """The large openings believed held or coming, for peers: by incarnation, under which weights."""
+        return {
+            incarnation: [self.weights(incarnation), [each for each in large if self._own(incarnation, each, nowMs)]]
+            for incarnation, large in self._large.items()
+        }
+
+    def hear_peers(self, beats: list[dict[str, Any]]) -> None:
+        """What peers believe, unless it is of other weights than were seen here."""
+        self._told = {
+            (incarnation, digest)
+            for beat in beats
+            for incarnation, (weights, digests) in beat["held"].items()
+            if not weights or weights == (self.weights(incarnation) or weights)
+            for digest in digests
+        }
+
     def counts(self) -> dict[str, int]:
         return {incarnation: len(kept) for incarnation, kept in sorted(self._kept.items())}
--- a/src/finchswitch/affinity/draw.py
+++ b/src/finchswitch/affinity/draw.py
@@ -13,7 +13,7 @@
 from finchswitch.affinity.burden import Burdens
 from finchswitch.affinity.homes import home_order, shifted
 from finchswitch.affinity.opening import Opening
-from finchswitch.constants import SECOND_HOMES
+from finchswitch.constants import COPY_SHARE, SECOND_HOMES, TOLD_TOKENS
 
 __all__ = ["Drawn", "Draws", "Seatable", "Way"]
 
@@ -40,6 +40,7 @@
 @dataclass(frozen=True)
 class Drawn:
     runner: Seatable
+    opening: Opening
     way: Way
     prefillTokens: int
     plainMs: float
@@ -59,7 +60,8 @@
         waitMs = waiting * self._burdens.seatMs(runner.incarnation) / runner.slots
         prefillMs = 1000 * (load.prefillTokens + tokens) / runner.prefillTokensPerS
         plainMs = waitMs + prefillMs
-        return Drawn(runner, way, tokens, plainMs, plainMs * self._burdens.pace(runner.incarnation, nowMs))
+        firstMs = plainMs * self._burdens.pace(runner.incarnation, nowMs)
+        return Drawn(runner, opening, way, tokens, plainMs, firstMs)
 
     def draw(
         self,
@@ -96,11 +98,20 @@
         """The design's two rules, before time is looked at."""
         by_name = {each.runner: each for each in runners}
         if opening.digest in hot:
-            pair = self._chance.sample(sorted(by_name), min(2, len(by_name)))
+            names = self._copied(opening, by_name, nowMs)
+            pair = self._chance.sample(names, min(2, len(names)))
             both = [self.estimate(opening, by_name[name], Way.HOT, nowMs) for name in pair]
             return min(both, key=lambda each: self._share(each.runner, nowMs))
         return self._home(opening, by_name, homes, spillShare, nowMs)
 
+    def _copied(self, opening: Opening, by_name: dict[str, Seatable], nowMs: float) -> list[str]:
+        """All runners; for a large opening mostly those believed to hold it, so that copies are made one by one."""
+        names = sorted(by_name)
+        if opening.openingTokens < TOLD_TOKENS or self._chance.random() < COPY_SHARE:
+            return names
+        held = [each for each in names if self._beliefs.holds(by_name[each].incarnation, opening.digest, nowMs)]
+        return held or names
+
     def _home(
         self, opening: Opening, by_name: dict[str, Seatable], homes: list[str], spillShare: float, nowMs: float
     ) -> Drawn:
--- a/src/finchswitch/kinship/member.py
+++ b/src/finchswitch/kinship/member.py
@@ -173,7 +173,7 @@
         name = field(beat, "name", str)
         for key in ("address", "http", "district", "incarnation"):
             field(beat, key, str)
-        for key in ("generations", "burden", "pace"):
+        for key in ("generations", "burden", "pace", "held"):
             field(beat, key, dict)
         self.peers[name] = {**beat, "atMs": atMs}
         self.heardMs[name] = max(self.heardMs.get(name, _NEVER), atMs)
--- a/src/finchswitch/transit/call.py
+++ b/src/finchswitch/transit/call.py
@@ -87,7 +87,7 @@
         async with aclosing(pieces_of(known, prompt, dueMs * FIRST_WAIT_SHARE)) as pieces:
             async for piece in pieces:
                 if number == 0:
-                    seat.begun(prompt.opening.digest, piece.weights)
+                    seat.begun(piece.weights)
                     await _start(node, send, prompt, drawn, piece)
                 number += 1
                 content = piece.content
--- a/src/finchswitch/transit/node.py
+++ b/src/finchswitch/transit/node.py
@@ -138,6 +138,7 @@
         nowMs = self.world.nowMs()
         return {
             "burden": self.burdens.spoken(),
+            "held": self.beliefs.spoken(nowMs),
             "pace": self.burdens.spoken_pace(nowMs),
             "leaving": self.roster.leaving(),
             "listAgeMs": self.roster.listAgeMs(),
@@ -149,4 +150,6 @@
         """What a peer's beat added."""
         self.roster.hear_peer(beat["leaving"], beat["listAgeMs"])
         self.duties.hear(beat["vitals"])
-        self.burdens.hear_peers(self.member.heard_peers())
+        heard = self.member.heard_peers()
+        self.burdens.hear_peers(heard)
+        self.beliefs.hear_peers(heard)
--- a/src/finchswitch/transit/seat.py
+++ b/src/finchswitch/transit/seat.py
@@ -29,9 +29,10 @@
         self._walker = Walker(_CHART, drawn.runner.runner)
         self._grantedMs = world.nowMs()
         burdens.take(drawn.runner.incarnation, drawn.prefillTokens)
+        beliefs.granted(drawn.runner.incarnation, drawn.opening)
         burdens.await_first(self, drawn.runner.incarnation, drawn.plainMs, self._grantedMs)
 
-    def begun(self, digest: str, weights: str) -> None:
+    def begun(self, weights: str) -> None:
         """The first piece came: the runner holds the opening now, under these weights."""
         self._walker.take(SeatEvent.BEGIN)
         incarnation, nowMs = self._drawn.runner.incarnation, self._world.nowMs()
@@ -39,12 +40,14 @@
         self._burdens.saw_first(incarnation, self._drawn.plainMs, nowMs - self._grantedMs, nowMs)
         self._burdens.begun(incarnation, self._drawn.prefillTokens)
         self._beliefs.answered(incarnation, weights)
-        self._beliefs.sent(incarnation, digest, nowMs)
+        self._beliefs.settled(incarnation, self._drawn.opening.digest)
+        self._beliefs.sent(incarnation, self._drawn.opening.digest, nowMs)
 
     def free(self) -> None:
         incarnation, nowMs = self._drawn.runner.incarnation, self._world.nowMs()
         self._burdens.no_wait(self, incarnation)
         if self._walker.state is SeatState.GRANTED:
+            self._beliefs.settled(incarnation, self._drawn.opening.digest)
             self._burdens.begun(incarnation, self._drawn.prefillTokens)
             if nowMs - self._grantedMs > self._drawn.firstMs:
                 self._burdens.saw_first(incarnation, self._drawn.plainMs, nowMs - self._grantedMs, nowMs)
