A service that nobody calls has no hot-set duty; HAR replay; stage faults by name

Cause: 3000 configured services meant 3000 duty fences, each a commit with syncs, told to all nodes. Found by profile of a test with a large configuration: 17063 edits applied for two changes. Ruled out: reading and checking it (34 ms), JSON (6 ms).

--- a/src/finchswitch/constants.py
+++ b/src/finchswitch/constants.py
@@ -12,6 +12,7 @@
 FRAME_DIGITS_MOST: Final = 8  # enough digits for FRAME_MOST_BYTES; a longer length is a broken frame
 DIAL_WAIT_MS: Final = 300  # a live machine in the same hall answers in a few ms; dark ones must not hold us
 ASK_WAIT_MS: Final = 500  # under the failover second, above a slow sync
+KEPT_CONNECTIONS: Final = 20  # idle HTTP connections kept by a client that asks often, as of the platform's list
 INBOX_MOST: Final = 1024  # asks waiting in one process; past it the sender feels the back pressure
 
 # Kinship
--- /dev/null
+++ b/src/finchswitch/programs/faults.py
@@ -0,0 +1,101 @@
+"""What stage does to a running fleet: the planned, the frozen, the lost, each over the time that callers call."""
+
+import signal
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from finchswitch.programs.fleet import Fleet
+from finchswitch.rehearsal.callers import Desk
+from finchswitch.rehearsal.history import Change, History
+from finchswitch.wire import World
+
+__all__ = ["FAULTS", "Hands"]
+
+
+class Hands:
+    """What a fault may use: the fleet, its history, and an operator."""
+
+    def __init__(self, world: World, fleet: Fleet, desk: Desk, history: History, change: Any, seconds: int) -> None:
+        self.world, self.fleet, self.desk, self.history, self.seconds = world, fleet, desk, history, seconds
+        self._change = change
+        self.base = 1
+
+    async def change(self, content: dict[str, Any], changeId: str) -> Change:
+        change: Change = await self._change(self.base, content, changeId)
+        self.base = max(self.base, change.generation)
+        return change
+
+    async def pause(self, share: float) -> None:
+        await self.world.sleep(1000 * self.seconds * share)
+
+
+async def planned(hands: Hands) -> None:
+    """A move plan, a control node killed while a change is sent, and a rolling stop of all routing nodes."""
+    deployment, fleet, world = hands.fleet.deployment, hands.fleet, hands.world
+    await hands.pause(0.1)
+    leaving, bindings = deployment.runner_names()[0], [each.service for each in deployment.traffic]
+    plan = {"leaving": [leaving], "arriving": deployment.spare, "bindings": bindings}
+    await hands.change({"edits": [{"kind": "plans", "name": "move", "value": plan}]}, "move")
+    await hands.pause(0.1)
+    fleet.signal("accord1", signal.SIGKILL)
+    await hands.pause(0.05)
+    await hands.change({"edits": [{"kind": "settings", "name": "spillShare", "value": 0.85}]}, "while-one-is-gone")
+    fleet.start("accord1")
+    pauseMs = 1000 * hands.seconds * 0.6 / len(hands.desk.nodes)
+    for name in sorted(hands.desk.nodes):
+        beganMs = world.nowMs()
+        await fleet.stop_softly(name, world)
+        fleet.start(name)
+        await world.sleep(max(0.0, pauseMs - (world.nowMs() - beganMs)))
+
+
+async def freeze(hands: Hands) -> None:
+    """One machine after another is stopped by SIGSTOP past every lease and wakes, with changes meanwhile."""
+    fleet, chance = hands.fleet, hands.world.chance
+    names = ["accord1", *sorted(hands.desk.nodes)[:2], "accord2", f"{fleet.deployment.runner_names()[0]}"]
+    for at, name in enumerate(names):
+        hands.history.failed.add(fleet.incarnations.get(name, name))
+        fleet.signal(name, signal.SIGSTOP)
+        await hands.pause(0.05)
+        value = chance.choice([0.8, 0.9])
+        await hands.change({"edits": [{"kind": "settings", "name": "spillShare", "value": value}]}, f"frozen-{at}")
+        await hands.pause(0.05)
+        fleet.signal(name, signal.SIGCONT)
+        await hands.pause(0.07)
+
+
+async def loss(hands: Hands) -> None:
+    """Every process of the fleet is killed at once, after a change was acknowledged, and started again."""
+    fleet, world = hands.fleet, hands.world
+    await hands.pause(0.2)
+    before = await hands.change({"edits": [{"kind": "settings", "name": "spillShare", "value": 0.8}]}, "before")
+    own = [name for name in fleet.running() if name.startswith(("accord", "transit"))]
+    for name in own:
+        hands.history.failed.add(name)
+        fleet.signal(name, signal.SIGKILL)
+    lostMs = world.nowMs()
+    await world.sleep(2_000)
+    for name in own:
+        fleet.start(name)
+    backMs = world.nowMs()
+    await world.sleep(12_000)
+    after = [c for c in hands.history.calls if c.askedMs > world.nowMs() - 2_000 and c.endMs > 0]
+    good = sum(call.outcome == "complete" for call in after)
+    hands.history.notes["loss"] = {
+        "acknowledged": before.status,
+        "downMs": round(backMs - lostMs),
+        "served12sAfterReturn": f"{good} of {len(after)}",
+    }
+    await hands.change({"edits": [{"kind": "settings", "name": "spillShare", "value": 0.9}]}, "after")
+
+
+async def none(hands: Hands) -> None:
+    """Nothing fails."""
+
+
+FAULTS: dict[str, Callable[[Hands], Awaitable[None]]] = {
+    "planned": planned,
+    "freeze": freeze,
+    "loss": loss,
+    "none": none,
+}
--- a/src/finchswitch/programs/fleet.py
+++ b/src/finchswitch/programs/fleet.py
@@ -70,6 +70,9 @@
         if number == signal.SIGKILL:
             self._running.pop(name).wait()
 
+    def running(self) -> list[str]:
+        return list(self._running)
+
     async def stop_softly(self, name: str, world: World) -> None:
         """SIGTERM, then wait for the process to end by itself."""
         process = self._running.pop(name)
--- a/src/finchswitch/programs/operate.py
+++ b/src/finchswitch/programs/operate.py
@@ -13,6 +13,7 @@
 from finchswitch.constants import CHANGE_WAIT_MS
 from finchswitch.creed import read_creed
 from finchswitch.programs.mirror import mirror
+from finchswitch.programs.replay import replay
 from finchswitch.wire.strict import read_json
 
 __all__ = ["add_to"]
@@ -23,7 +24,7 @@
 
 
 def add_to(app: typer.Typer) -> None:
-    for command in (check, change, configuration, members, parts, plans, homes, mirror):
+    for command in (check, change, configuration, members, parts, plans, hot, homes, mirror, replay):
         app.command()(command)
 
 
@@ -89,8 +90,13 @@
 
 
 def plans(at: At, as_json: AsJson = False) -> None:
-    """Show the standing of move plans and the hot sets."""
-    _show(_get(at, "/v1/plans"), as_json)
+    """Show the standing of move plans."""
+    _show(_get(at, "/v1/plans")["plans"], as_json)
+
+
+def hot(at: At, as_json: AsJson = False) -> None:
+    """Show each service's hot set with its fence."""
+    _show(_get(at, "/v1/plans")["hot"], as_json)
 
 
 def homes(
--- a/src/finchswitch/programs/stage.py
+++ b/src/finchswitch/programs/stage.py
@@ -1,15 +1,15 @@
 """stage: a whole fleet on this machine, each node a process, with stand-ins, callers, and a report.
 
-With faults on, a move plan goes under way, every routing node is stopped and started again in turn, and one
-control node is killed outright and started again on its data folder. The report says what callers got and which
-points of what must never happen were broken.
+The faults are chosen by name: ``planned`` puts a move plan under way, kills one control node and stops and starts
+every routing node in turn; ``freeze`` stops processes past every lease; ``loss`` kills all at once. The report says
+what callers got and which points of what must never happen were broken.
 """
 
 import json
 import shutil
-import signal
 import tempfile
 from dataclasses import asdict
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -17,11 +17,12 @@
 import httpx
 import typer
 
+from finchswitch.programs.faults import FAULTS, Hands
 from finchswitch.programs.fleet import Fleet
 from finchswitch.rehearsal.callers import Desk, call_openly
 from finchswitch.rehearsal.checkers import judge
 from finchswitch.rehearsal.deployments import DEPLOYMENTS, Deployment
-from finchswitch.rehearsal.history import Change, History
+from finchswitch.rehearsal.history import Change, History, Read
 from finchswitch.rehearsal.report import make_report, print_report
 from finchswitch.wire.real import RealWorld
 
@@ -29,11 +30,14 @@
 
 
 def run_stage(
-    name: str, seconds: int, seed: int, share: float, faults: bool, keep: Path | None, as_json: bool
+    name: str, seconds: int, seed: int, share: float, faults: str, keep: Path | None, as_json: bool
 ) -> int:
     if name != "both" and name not in DEPLOYMENTS:
         typer.echo(f"deployment: {name} is none of both, {', '.join(sorted(DEPLOYMENTS))}", err=True)
         return 2
+    if faults not in FAULTS:
+        typer.echo(f"faults: {faults} is none of {', '.join(FAULTS)}", err=True)
+        return 2
     root = keep or Path(tempfile.mkdtemp(prefix="finchswitch-stage-"))
     names = ["hobart", "zuerich"] if name == "both" else [name]
     codes = [_stage(DEPLOYMENTS[each], seconds, seed, share, faults, root / each, as_json) for each in names]
@@ -41,7 +45,7 @@
 
 
 def _stage(
-    deployment: Deployment, seconds: int, seed: int, share: float, faults: bool, folder: Path, as_json: bool
+    deployment: Deployment, seconds: int, seed: int, share: float, faults: str, folder: Path, as_json: bool
 ) -> int:
     shutil.rmtree(folder, ignore_errors=True)
     folder.mkdir(parents=True)
@@ -57,7 +61,7 @@
 
 
 async def _run(
-    deployment: Deployment, seconds: int, seed: int, share: float, faults: bool, folder: Path
+    deployment: Deployment, seconds: int, seed: int, share: float, faults: str, folder: Path
 ) -> History:
     history = History()
     async with anyio.create_task_group() as group:
@@ -74,14 +78,14 @@
 
 
 async def _rehearse(
-    world: RealWorld, fleet: Fleet, group: Any, history: History, seconds: int, share: float, faults: bool
+    world: RealWorld, fleet: Fleet, group: Any, history: History, seconds: int, share: float, faults: str
 ) -> None:
     fleet.start_all()
     async with httpx.AsyncClient(trust_env=False, timeout=10) as client:
         await fleet.list_runners(client, history, world)
         founded = await _until(world, fleet.founded, client, 20_000)
         history.notes["foundedMs"] = founded
-        change = await _change(world, client, fleet, history, 0, {"configuration": fleet.deployment.creed()}, "first")
+        await _change(world, client, fleet, history, 0, {"configuration": fleet.deployment.creed()}, "first")
         desk = Desk(world, fleet.doors())
         group.start_soon(desk.look)
         history.notes["readyMs"] = await _until(world, lambda _: _all_ready(desk), client, 20_000)
@@ -91,8 +95,9 @@
             for traffic in fleet.deployment.traffic:
                 scaled = type(traffic)(**{**asdict(traffic), "perS": traffic.perS * share})
                 calling.start_soon(call_openly, world, desk, scaled, history, untilMs, callers, calling)
-            if faults:
-                calling.start_soon(_faults, world, client, fleet, desk, history, change.generation, seconds)
+            operate = partial(_change, world, client, fleet, history)
+            await FAULTS[faults](Hands(world, fleet, desk, history, operate, seconds))
+        await _read_back(client, fleet, history)
         history.notes["vitals"] = await fleet.vitals(client)
 
 
@@ -100,6 +105,17 @@
     return len(desk.ready) == len(desk.nodes) and all(desk.ready.values())
 
 
+async def _read_back(client: httpx.AsyncClient, fleet: Fleet, history: History) -> None:
+    """What the fleet says at the end: its generation, and where plans stand."""
+    try:
+        address = fleet.desks()[0]
+        read = (await client.get(f"http://{address}/v1/configuration?current=true")).json()
+        history.reads.append(Read(max(change.answeredMs for change in history.changes), read.get("generation", -1)))
+        history.notes["plans"] = (await client.get(f"http://{address}/v1/plans")).json()["plans"]
+    except (httpx.HTTPError, IndexError) as error:
+        history.notes["read back"] = repr(error)
+
+
 async def _until(world: RealWorld, holds: Any, client: httpx.AsyncClient, mostMs: float) -> float:
     beganMs = world.nowMs()
     while not await holds(client):
@@ -120,46 +136,16 @@
 ) -> Change:
     change = Change(changeId, base, world.nowMs(), mark="")
     history.changes.append(change)
-    for _ in range(5):
+    for at in range(5):
         try:
             url = f"http://{world.chance.choice(fleet.desks())}/v1/changes"
-            response = await client.post(url, json={"changeId": changeId, "base": base, **content})
+            response = await client.post(url, json={"changeId": changeId, "base": base, "again": at > 0, **content})
             answer = response.json()
         except (httpx.HTTPError, ValueError):
             continue
-        change.status, change.generation = response.status_code, answer.get("generation", -1)
+        change.status, change.generation = response.status_code, int(answer.get("generation", -1))
         change.answeredMs = world.nowMs()
         if change.status not in (503, 504):
             break
     history.notes.setdefault("changes", []).append([changeId, change.status, round(change.answeredMs - change.sentMs)])
     return change
-
-
-async def _faults(
-    world: RealWorld,
-    client: httpx.AsyncClient,
-    fleet: Fleet,
-    desk: Desk,
-    history: History,
-    base: int,
-    seconds: int,
-) -> None:
-    """A move plan, a killed control node, and a rolling stop, one after the other, over the calling time."""
-    deployment = fleet.deployment
-    await world.sleep(1000 * seconds * 0.1)
-    leaving, bindings = deployment.runner_names()[0], [each.service for each in deployment.traffic]
-    plan = {"leaving": [leaving], "arriving": deployment.spare, "bindings": bindings}
-    edits = [{"kind": "plans", "name": "move", "value": plan}]
-    moved = await _change(world, client, fleet, history, base, {"edits": edits}, "move")
-    await world.sleep(1000 * seconds * 0.1)
-    fleet.signal("accord1", signal.SIGKILL)
-    await world.sleep(1000 * seconds * 0.05)
-    settings = [{"kind": "settings", "name": "spillShare", "value": 0.85}]
-    await _change(world, client, fleet, history, moved.generation, {"edits": settings}, "while-one-is-gone")
-    fleet.start("accord1")
-    pauseMs = 1000 * seconds * 0.6 / len(desk.nodes)
-    for name in sorted(desk.nodes):
-        beganMs = world.nowMs()
-        await fleet.stop_softly(name, world)
-        fleet.start(name)
-        await world.sleep(max(0.0, pauseMs - (world.nowMs() - beganMs)))
--- a/src/finchswitch/transit/duties.py
+++ b/src/finchswitch/transit/duties.py
@@ -61,9 +61,14 @@
                     _log.info("Duty {} met a mishap. {}", key, mishap)
 
     def _keys(self) -> list[str]:
+        """The keys there are now; a service that nobody calls has none, however many are configured."""
         creed = self._node.creed()
+        called = set(self._node.called())
+        for beat in self._node.member.heard_peers():
+            called.update(beat["counts"])
         keys = [f"vitals/{name}" for name in creed.runners]
-        return keys + [f"hot/{name}" for name in creed.services] + [f"plan/{name}" for name in creed.plans]
+        keys += [f"hot/{name}" for name in sorted(called) if name in creed.services]
+        return keys + [f"plan/{name}" for name in creed.plans]
 
     def _fence(self, key: str) -> dict[str, Any] | None:
         record: dict[str, Any] | None = self._node.news.body(part_of(key)).get("fences", {}).get(key)
--- a/src/finchswitch/transit/node.py
+++ b/src/finchswitch/transit/node.py
@@ -71,6 +71,12 @@
     def popularity(self, service: str) -> Popularity:
         return self._popularity.setdefault(service, Popularity())
 
+    def called(self) -> dict[str, tuple[float, dict[str, float]]]:
+        """The highest counts of each service that was called lately."""
+        nowMs = self.world.nowMs()
+        tops = {name: each.top(2 * HOT_MOST, nowMs) for name, each in self._popularity.items()}
+        return {name: top for name, top in tops.items() if top[0] >= 1.0}
+
     def count_opening(self, opening: Opening) -> None:
         if opening.service in self.creed().services:
             self.popularity(opening.service).count(opening.digest, self.world.nowMs())
@@ -142,7 +148,7 @@
             "pace": self.burdens.spoken_pace(nowMs),
             "leaving": self.roster.leaving(),
             "listAgeMs": self.roster.listAgeMs(),
-            "counts": {name: each.top(2 * HOT_MOST, nowMs) for name, each in self._popularity.items()},
+            "counts": self.called(),
             "vitals": self.duties.words(),
         }
 
--- a/src/finchswitch/wire/client.py
+++ b/src/finchswitch/wire/client.py
@@ -13,6 +13,7 @@
 import httpx
 from anyio.abc import ByteStream, SocketAttribute
 
+from finchswitch.constants import KEPT_CONNECTIONS
 from finchswitch.mishap import Mishap
 
 __all__ = ["Proof", "make_transport"]
@@ -102,12 +103,16 @@
 
 
 def make_transport(dialer: Dialer, proof: Proof | None) -> httpx.AsyncBaseTransport:
-    """An httpx transport whose connections come from the dialer."""
+    """An httpx transport whose connections come from the dialer.
+
+    With a proof, each request has a fresh connection: on a kept one, a request that the other end closed upon could
+    not be told from one that ran.
+    """
+    kept = 0 if proof is not None else KEPT_CONNECTIONS
     transport = httpx.AsyncHTTPTransport(verify=False, trust_env=False)  # its own pool is replaced; no TLS here
     transport._pool = httpcore.AsyncConnectionPool(  # the one seam httpx leaves for a network backend
         max_connections=None,
-        max_keepalive_connections=100,
-        keepalive_expiry=30.0,
+        max_keepalive_connections=kept,
         network_backend=_Backend(dialer, proof),
     )
     return transport
--- a/tests/test_doors.py
+++ b/tests/test_doors.py
@@ -105,3 +105,21 @@
             assert read["generation"] == 2 and "mark-a" in read["configuration"]["services"]
 
     staged(scene)
+
+
+def test_a_configuration_of_thousands_of_bindings_is_in_effect_in_time(staged):
+    async def scene(theatre):
+        await open_up(theatre)
+        creed = theatre.deployment.creed()
+        for at in range(3_000):
+            creed["services"][f"extra-{at}"] = {"dueMs": 5_000}
+            creed["bindings"][f"extra-{at}"] = {"service": f"extra-{at}", "runners": theatre.deployment.runner_names()}
+        change = await theatre.change(1, {"configuration": creed})
+        assert change.status == 200 and change.answeredMs - change.sentMs < 2_000
+        small = await theatre.change(2, mark_edit("mark-small"))
+        assert small.status == 200 and small.answeredMs - small.sentMs < 2_000
+        assert {theatre.actors[f"transit{at}"].node.generation() for at in range(1, 5)} == {3}
+        await theatre.call(1_000, 1.0)
+        assert all(call.outcome == "complete" for call in theatre.history.calls)
+
+    staged(scene)
