--- a/src/finchswitch/accord/asks.py
+++ b/src/finchswitch/accord/asks.py
@@ -7,7 +7,7 @@
 from finchswitch.constants import CREED_PART
 from finchswitch.logs import prefix
 from finchswitch.mishap import Mishap, MishapKind
-from finchswitch.wire import GONE, Asked, Message, field, serve_asks
+from finchswitch.wire import GONE, Asked, Message, field, serve_asks, settle
 
 __all__ = ["run_council"]
 
@@ -22,47 +22,40 @@
         for part in part_names():
             council.group.start_soon(tend_part, council, part)
         async for asked in inbox:
-            council.group.start_soon(_answer, council, asked)
+            if asked.kind == GONE:
+                council.sessions.line_closed(asked.peer)
+            else:
+                council.group.start_soon(settle, asked, _answer(council, asked), _log)
 
 
-async def _answer(council: Council, asked: Asked) -> None:
-    try:
-        if asked.kind == GONE:
-            council.sessions.line_closed(asked.peer)
-        elif asked.kind == "session.beat":
-            await asked.answer(_session_beat(council, asked))
-        elif asked.kind == "session.leave":
-            council.sessions.leave(field(asked.body, "name", str, asked.peer))
-            council.tempo.kick()
-            await asked.answer({})
-        elif asked.kind == "kin.beat":
-            council.hear_kin(asked.body, asked.peer, None)
-            await asked.answer(council.beat_body())
-        elif asked.kind == "news.follow":
-            have, holdMs = field(asked.body, "have", dict, asked.peer), field(asked.body, "holdMs", int, asked.peer)
-            await asked.answer({"news": await council.news.wait_news(have, holdMs)})
-        elif asked.kind == "peer.who":
-            await asked.answer(_who(council))
-        elif asked.kind == "change":
-            await asked.answer(await take_change(council, asked.body))
-        elif asked.kind == "current":
-            await asked.answer(await confirm_current(council, passed=True))
-        elif asked.kind == "part.edit":
-            await asked.answer(await edit_part(council, asked.body))
-        elif asked.kind.startswith("vote."):
-            shown = council.chamber.answer(asked.kind, asked.body)
-            if asked.kind == "vote.commit" and shown:
-                council.publish(shown["part"], shown["document"])
-                shown = {}
-            await asked.answer(shown)
-        else:
-            raise Mishap(MishapKind.BROKEN, "shape", asked.peer, f"unknown kind {asked.kind[:40]}")
-    except Mishap as mishap:
-        _log.info("Refused {}. {}", asked.kind, mishap)
-        await (asked.close() if mishap.kind is MishapKind.BROKEN else asked.refuse(str(mishap)))
-    except (KeyError, TypeError, ValueError, AttributeError) as wrong:
-        _log.warning("Closed {} for a message of the wrong shape: {} {!r}.", asked.peer, asked.kind, wrong)
-        await asked.close()
+async def _answer(council: Council, asked: Asked) -> Message:
+    if asked.kind == "session.beat":
+        return _session_beat(council, asked)
+    if asked.kind == "session.leave":
+        council.sessions.leave(field(asked.body, "name", str, asked.peer))
+        council.tempo.kick()
+        return {}
+    if asked.kind == "kin.beat":
+        council.hear_kin(asked.body, asked.peer, None)
+        return council.beat_body()
+    if asked.kind == "news.follow":
+        have, holdMs = field(asked.body, "have", dict, asked.peer), field(asked.body, "holdMs", int, asked.peer)
+        return {"news": await council.news.wait_news(have, holdMs)}
+    if asked.kind == "peer.who":
+        return _who(council)
+    if asked.kind == "change":
+        return await take_change(council, asked.body)
+    if asked.kind == "current":
+        return await confirm_current(council, passed=True)
+    if asked.kind == "part.edit":
+        return await edit_part(council, asked.body)
+    if asked.kind.startswith("vote."):
+        shown = council.chamber.answer(asked.kind, asked.body)
+        if asked.kind == "vote.commit" and shown:
+            council.publish(shown["part"], shown["document"])
+            return {}
+        return shown
+    raise Mishap(MishapKind.BROKEN, "shape", asked.peer, f"unknown kind {asked.kind[:40]}")
 
 
 def _who(council: Council) -> Message:
--- a/src/finchswitch/kinship/member.py
+++ b/src/finchswitch/kinship/member.py
@@ -20,6 +20,7 @@
     PEER_SILENT_MS,
 )
 from finchswitch.kinship.tempo import Tempo
+from finchswitch.kinship.word import check_beat
 from finchswitch.logs import prefix
 from finchswitch.mishap import Mishap
 from finchswitch.relay import NewsBook
@@ -163,18 +164,15 @@
             answer = await self._book.ask(address, "peer.beat", self.word(own_word), PEER_SILENT_MS)
             self.hear_peer(answer, askedMs)
             own_word.hear(answer)
-        except (Mishap, KeyError, TypeError, ValueError) as mishap:
-            _log.debug("A peer is silent or speaks badly. {!r}", mishap)
+        except Mishap as mishap:
+            _log.debug("A peer is silent or speaks badly. {}", mishap)
 
     def word(self, own_word: Word) -> Message:
         return {**self.card, "generations": self._news.generations(), **own_word.speak()}
 
     def hear_peer(self, beat: Message, atMs: float) -> None:
-        name = field(beat, "name", str)
-        for key in ("address", "http", "district", "incarnation"):
-            field(beat, key, str)
-        for key in ("generations", "burden", "pace", "held"):
-            field(beat, key, dict)
+        check_beat(beat)
+        name = beat["name"]
         self.peers[name] = {**beat, "atMs": atMs}
         self.heardMs[name] = max(self.heardMs.get(name, _NEVER), atMs)
 
--- /dev/null
+++ b/src/finchswitch/kinship/word.py
@@ -0,0 +1,55 @@
+"""The shape of a beat between routing nodes, checked whole before any of it is believed."""
+
+from typing import Any
+
+from finchswitch.mishap import Mishap, MishapKind
+from finchswitch.wire import Message
+
+__all__ = ["check_beat"]
+
+_NUMBER = (int, float)
+# The shape of each field: a type, a list of one shape, a tuple of shapes, or a dict from strings to one shape.
+_SHAPE: dict[str, Any] = {
+    "name": str,
+    "address": str,
+    "http": str,
+    "district": str,
+    "incarnation": str,
+    "generations": {"": int},
+    "burden": {"": (_NUMBER, _NUMBER)},
+    "pace": {"": _NUMBER},
+    "held": {"": (str, [str])},
+    "leaving": [str],
+    "listAgeMs": _NUMBER,
+    "counts": {"": (_NUMBER, {"": _NUMBER})},
+    "vitals": {"": (int, str, _NUMBER, _NUMBER)},
+}
+
+
+def check_beat(beat: Message, peer: str = "peer") -> None:
+    """Raises a Mishap BROKEN naming the first field that is not as it should be.
+
+    >>> check_beat({"name": 5})
+    Traceback (most recent call last):
+    finchswitch.mishap.Mishap: shape at peer: broken: field name missing or of the wrong type
+    """
+    for name, shape in _SHAPE.items():
+        if not _fits(beat.get(name), shape):
+            raise Mishap(MishapKind.BROKEN, "shape", peer, f"field {name} missing or of the wrong type")
+
+
+def _fits(value: Any, shape: Any) -> bool:
+    """Whether a value has a shape.
+
+    >>> _fits({"r": [1, 2.5]}, {"": (_NUMBER, _NUMBER)}), _fits({"r": [1]}, {"": (_NUMBER, _NUMBER)})
+    (True, False)
+    """
+    if shape is _NUMBER or isinstance(shape, type):
+        return isinstance(value, shape) and not isinstance(value, bool)
+    if isinstance(shape, dict):
+        return isinstance(value, dict) and all(_fits(each, shape[""]) for each in value.values())
+    if not isinstance(value, (list, tuple)):
+        return False
+    if isinstance(shape, list):
+        return all(_fits(each, shape[0]) for each in value)
+    return len(value) == len(shape) and all(_fits(each, part) for each, part in zip(value, shape, strict=True))
--- a/src/finchswitch/transit/asks.py
+++ b/src/finchswitch/transit/asks.py
@@ -3,7 +3,7 @@
 from finchswitch.logs import prefix
 from finchswitch.mishap import Mishap, MishapKind
 from finchswitch.transit.node import Node
-from finchswitch.wire import GONE, Asked, field, serve_asks
+from finchswitch.wire import GONE, Asked, Message, field, serve_asks, settle
 
 __all__ = ["run_node"]
 
@@ -20,25 +20,17 @@
         node.group.start_soon(node.duties.tend)
         async for asked in inbox:
             if asked.kind != GONE:
-                node.group.start_soon(_answer, node, asked)
+                node.group.start_soon(settle, asked, _answer(node, asked), _log)
 
 
-async def _answer(node: Node, asked: Asked) -> None:
-    try:
-        if asked.kind == "peer.beat":
-            node.member.hear_peer(asked.body, node.world.nowMs())
-            node.hear(asked.body)
-            await asked.answer(node.member.word(node))
-        elif asked.kind == "news.follow":
-            have, holdMs = field(asked.body, "have", dict, asked.peer), field(asked.body, "holdMs", int, asked.peer)
-            await asked.answer({"news": await node.news.wait_news(have, holdMs)})
-        elif asked.kind == "peer.who":
-            await asked.answer({"plane": "routing", "controls": node.member.controls})
-        else:
-            raise Mishap(MishapKind.BROKEN, "shape", asked.peer, f"unknown kind {asked.kind[:40]}")
-    except Mishap as mishap:
-        _log.info("Refused {}. {}", asked.kind, mishap)
-        await (asked.close() if mishap.kind is MishapKind.BROKEN else asked.refuse(str(mishap)))
-    except (KeyError, TypeError, ValueError, AttributeError) as wrong:
-        _log.warning("Closed {} for a message of the wrong shape: {} {!r}.", asked.peer, asked.kind, wrong)
-        await asked.close()
+async def _answer(node: Node, asked: Asked) -> Message:
+    if asked.kind == "peer.beat":
+        node.member.hear_peer(asked.body, node.world.nowMs())
+        node.hear(asked.body)
+        return node.member.word(node)
+    if asked.kind == "news.follow":
+        have, holdMs = field(asked.body, "have", dict, asked.peer), field(asked.body, "holdMs", int, asked.peer)
+        return {"news": await node.news.wait_news(have, holdMs)}
+    if asked.kind == "peer.who":
+        return {"plane": "routing", "controls": node.member.controls}
+    raise Mishap(MishapKind.BROKEN, "shape", asked.peer, f"unknown kind {asked.kind[:40]}")
--- a/src/finchswitch/wire/link.py
+++ b/src/finchswitch/wire/link.py
@@ -6,7 +6,7 @@
 """
 
 import itertools
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from typing import Any
@@ -22,7 +22,7 @@
 from finchswitch.wire.netstring import Message, pack, unpack_next
 from finchswitch.wire.world import World
 
-__all__ = ["GONE", "Asked", "Book", "field", "serve_asks"]
+__all__ = ["GONE", "Asked", "Book", "field", "serve_asks", "settle"]
 
 GONE = "gone"  # the kind under which a closed connection is told to the program's loop
 
@@ -131,7 +131,7 @@
                 if answer is None:
                     return
                 link.received += 1
-                waiting = link.pending.get(answer.get("number", 0))
+                waiting = link.pending.pop(field(answer, "number", int, address), None)
                 if waiting is not None:
                     waiting.send_nowait(answer)
         except Mishap as mishap:
@@ -170,6 +170,18 @@
             _log.debug("An answer found nobody. {}", mishap)
 
 
+async def settle(asked: Asked, answering: Awaitable[Message], log: Any) -> None:
+    """Answer an ask with what a handler gives, refuse it, or close its connection when its shape is wrong."""
+    try:
+        await asked.answer(await answering)
+    except Mishap as mishap:
+        log.info("Refused {}. {}", asked.kind, mishap)
+        await (asked.close() if mishap.kind is MishapKind.BROKEN else asked.refuse(str(mishap)))
+    except (LookupError, TypeError, ValueError, AttributeError) as wrong:
+        log.warning("Closed {} for a message of the wrong shape: {} {!r}.", asked.peer, asked.kind, wrong)
+        await asked.close()
+
+
 async def _read_asks(stream: ByteStream, peer: str, inbox: MemoryObjectSendStream[Asked]) -> None:
     line = _Line(stream, peer)
     try:
--- a/src/finchswitch/wire/netstring.py
+++ b/src/finchswitch/wire/netstring.py
@@ -50,7 +50,7 @@
         raise Mishap(MishapKind.BROKEN, "frame", peer, "no closing comma")
     try:
         message = json.loads(body[:-1])
-    except ValueError:
+    except (ValueError, RecursionError):
         raise Mishap(MishapKind.BROKEN, "frame", peer, "not JSON") from None
     if not isinstance(message, dict):
         raise Mishap(MishapKind.BROKEN, "frame", peer, "not an object")
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -63,3 +63,54 @@
             group.cancel_scope.cancel()
 
     staged(scene)
+
+
+def test_a_peer_that_answers_badly_costs_only_its_link(staged):
+    answers = [
+        pack({"number": 1, "body": {}}) * 2,
+        pack({"number": [1], "body": {}}),
+        pack({"number": 1, "body": 3}),
+        b"4:[[[[,",
+        b"100000:" + b"[" * 100_000 + b",",
+    ]
+
+    async def scene(theatre):
+        async with anyio.create_task_group() as group:
+            listener = await theatre.outside.listen("10.0.0.1:1")
+            book = Book(theatre.outside, group)
+            for answer in answers:
+
+                async def bad(answer=answer):
+                    stream, _ = await listener.accept()
+                    await stream.receive()
+                    await stream.send(answer)
+
+                group.start_soon(bad)
+                if answer is answers[0]:
+                    assert await book.ask("10.0.0.1:1", "x", {}) == {}
+                    await theatre.outside.sleep(10)
+                    book._drop("10.0.0.1:1", book._links["10.0.0.1:1"])
+                    continue
+                with pytest.raises(Mishap):
+                    await book.ask("10.0.0.1:1", "x", {})
+            group.cancel_scope.cancel()
+
+    staged(scene)
+
+
+def test_a_beat_of_the_wrong_shape_is_not_believed(staged):
+    async def scene(theatre):
+        await open_up(theatre)
+        node = theatre.actors["transit1"].node
+        good = node.member.word(node)
+        async with anyio.create_task_group() as group:
+            book = Book(theatre.outside, group)
+            for field, value in [("burden", {"x": [1]}), ("pace", {"x": "y"}), ("counts", []), ("held", {"x": 1})]:
+                with pytest.raises(Mishap):
+                    await book.ask("10.0.1.2:7100", "peer.beat", {**good, "name": "liar", field: value})
+            group.cancel_scope.cancel()
+        assert "liar" not in theatre.actors["transit2"].node.member.peers
+        await theatre.call(1_000, 1.0)
+        assert all(call.outcome == "complete" for call in theatre.history.calls)
+
+    staged(scene)
