A swap is ended at once; a node that slept asks its permit again before it sends

Without a change the former group lingered, and the loss of a second machine left it without a majority. Ruled out: a lost document, the torn file. Cause 2: a node frozen between grant and send used the seat on waking, 6 s after the runner was leaving; and peers' beats that had lain in a buffer counted as fresh.

--- a/src/finchswitch/accord/tending.py
+++ b/src/finchswitch/accord/tending.py
@@ -92,6 +92,10 @@
     document = register.document
     if document is None or nowMs - council.startedMs < REPLACE_AFTER_MS:
         return
+    if document["former"] != document["group"]:  # a swap is over only when the former group is asked no more
+        await register.commit(document, succeed(document, document["body"], None, document["group"]))
+        council.announce(part)
+        return
     group, own = document["group"], council.store.store
     silent = [s for s in group if s != own and council.kindred.silentMs(s, nowMs) > REPLACE_AFTER_MS]
     spares = [kin.store for kin in council.kindred.alive(nowMs) if kin.store not in group and kin.fleet]
--- a/src/finchswitch/kinship/member.py
+++ b/src/finchswitch/kinship/member.py
@@ -94,19 +94,28 @@
         names = [each["name"] for each in self.members] if self._listed else list(self.peers)
         return [each for each in names if each != self.card["name"]]
 
+    def _controlled(self) -> bool:
+        return self._world.nowMs() - self._currentMs <= CONTROL_GRACE_MS
+
+    def _confirmed(self) -> bool:
+        nowMs, held = self._world.nowMs(), self._news.generation(CREED_PART)
+        if self._controlled():
+            return held >= self._told.get(CREED_PART, 0)
+        known = self.known()
+        heard = [name for name in known if self._hears(name, nowMs)]
+        newest = max((self.peers[name]["generations"].get(CREED_PART, -1) for name in heard), default=-1)
+        return bool(known) and 2 * len(heard) >= len(known) and held >= newest
+
+    def may_send(self) -> bool:
+        """Whether a seat granted before may still be used: the node has not slept meanwhile, nor been cut off."""
+        return self._controlled() or self._confirmed()
+
     def may_grant(self) -> bool:
         """Whether this node may grant a seat now; the one place where its readiness changes."""
-        nowMs, held = self._world.nowMs(), self._news.generation(CREED_PART)
+        held = self._news.generation(CREED_PART)
         if self._walker.state is NodeState.STOPPING:
             return False
-        controlled = nowMs - self._currentMs <= CONTROL_GRACE_MS
-        if controlled:
-            confirmed = held >= self._told.get(CREED_PART, 0)
-        else:
-            known = self.known()
-            heard = [name for name in known if self._hears(name, nowMs)]
-            newest = max((self.peers[name]["generations"].get(CREED_PART, -1) for name in heard), default=-1)
-            confirmed = bool(known) and 2 * len(heard) >= len(known) and held >= newest
+        controlled, confirmed = self._controlled(), self._confirmed()
         if held >= 1 and confirmed and self._walker.state is not NodeState.SERVING:
             self._walker.take(NodeEvent.CONFIRMED)
             _log.info("Serving generation {}{}.", held, "" if controlled else ", by the word of peers")
@@ -170,11 +179,17 @@
     def word(self, own_word: Word) -> Message:
         return {**self.card, "generations": self._news.generations(), **own_word.speak()}
 
-    def hear_peer(self, beat: Message, atMs: float) -> None:
+    def hear_peer(self, beat: Message, askedMs: float) -> None:
+        """A peer's answer to a beat; it counts from the moment that beat was sent."""
         check_beat(beat)
         name = beat["name"]
-        self.peers[name] = {**beat, "atMs": atMs}
-        self.heardMs[name] = max(self.heardMs.get(name, _NEVER), atMs)
+        self.peers[name] = beat
+        self.heardMs[name] = max(self.heardMs.get(name, _NEVER), askedMs)
+
+    def meet_peer(self, beat: Message) -> None:
+        """A peer's own beat: it shows that there is such a peer, not when it spoke, as it may have lain in a buffer."""
+        check_beat(beat)
+        self.peers.setdefault(beat["name"], beat)
 
     def heard_peers(self) -> list[Message]:
         nowMs = self._world.nowMs()
--- a/src/finchswitch/rehearsal/scenes_core.py
+++ b/src/finchswitch/rehearsal/scenes_core.py
@@ -71,6 +71,20 @@
     await close_up(theatre)
 
 
+@scene
+async def core_empty_quiet(theatre: Theatre) -> None:
+    """Two control machines in sequence are lost and come back empty, with no change in between to help."""
+    await open_up(theatre)
+    for at, name in enumerate(theatre.chance.sample(accords(theatre), 2)):
+        theatre.kill(name, power=True)
+        theatre.disks[name].wipe()
+        theatre.actors[name].host = f"10.0.9.{11 + at}"
+        theatre.disks.pop(name)
+        theatre.start(name)
+        await theatre.outside.sleep(9_000)
+    await close_up(theatre)
+
+
 @scene
 async def core_cut(theatre: Theatre) -> None:
     """The core is cut in two, one node is cut one way, and then all of it is cut off from the routing nodes."""
--- a/src/finchswitch/rehearsal/world.py
+++ b/src/finchswitch/rehearsal/world.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import anyio
+import h11
 import httpx
 import trio
 from anyio.abc import ByteStream
@@ -67,6 +68,14 @@
         await self._stream.aclose()
 
 
+async def _serve_one(server: TCPServer) -> None:
+    """One connection; when it is cancelled between a head and its body, hypercorn tries to send another head."""
+    try:
+        await server.run()
+    except* h11.LocalProtocolError:
+        pass
+
+
 class SimWorld:
     def __init__(self, net: Net, machine: Machine, seed: int) -> None:
         self._net, self._machine = net, machine
@@ -101,7 +110,7 @@
                 while True:
                     stream, _ = await listener.accept()
                     server = TCPServer(wrapped, config, context, ConnectionState({}), _TrioStream(stream))  # type: ignore[arg-type]
-                    group.start_soon(server.run)
+                    group.start_soon(_serve_one, server)
 
             accepting = anyio.CancelScope()
 
--- a/src/finchswitch/shelf/__init__.py
+++ b/src/finchswitch/shelf/__init__.py
@@ -35,6 +35,7 @@
     def __init__(self, root: Path) -> None:
         self._root = root
         root.mkdir(parents=True, exist_ok=True)
+        self._sync(root.parent)
 
     def names(self, folder: str) -> list[str]:
         where = self._root / folder
--- a/src/finchswitch/transit/asks.py
+++ b/src/finchswitch/transit/asks.py
@@ -25,8 +25,8 @@
 
 async def _answer(node: Node, asked: Asked) -> Message:
     if asked.kind == "peer.beat":
-        node.member.hear_peer(asked.body, node.world.nowMs())
-        node.hear(asked.body)
+        node.member.meet_peer(asked.body)
+        node.roster.hear_leaving(asked.body["leaving"])
         return node.member.word(node)
     if asked.kind == "news.follow":
         have, holdMs = field(asked.body, "have", dict, asked.peer), field(asked.body, "holdMs", int, asked.peer)
--- a/src/finchswitch/transit/node.py
+++ b/src/finchswitch/transit/node.py
@@ -39,7 +39,7 @@
         }
         self.member = Member(world, self.book, self.news, card, startup.seeds)
         self.follower = Follower(world, self.book, self.news, self.member)
-        self.roster = Roster(world, startup.platform)
+        self.roster = Roster(world, startup.platform, self)
         self.beliefs, self.burdens = Beliefs(), Burdens()
         self.draws = Draws(self.beliefs, self.burdens, world.chance)
         self.tries, self.duties = Tries(), Duties(self)
@@ -68,6 +68,10 @@
     def may_grant(self) -> bool:
         return self.member.may_grant()
 
+    def permits(self, incarnation: str) -> bool:
+        """Asked last before a request is put on a connection."""
+        return self.member.may_send() and self.roster.sendable(incarnation)
+
     def popularity(self, service: str) -> Popularity:
         return self._popularity.setdefault(service, Popularity())
 
--- a/src/finchswitch/transit/proof.py
+++ b/src/finchswitch/transit/proof.py
@@ -1,10 +1,12 @@
 """Proof of a runner's identity, spoken on each new connection before any request is put on it.
 
 ``GET /identity`` must answer with the runner's id and incarnation as the platform lists them. An old address
-with another process behind it fails here, and no request reaches it.
+with another process behind it fails here, and no request reaches it. Last before the request, the node's permit is
+asked again: a node that slept since the seat was granted must not use it.
 """
 
 import json
+from typing import Protocol
 
 import anyio
 import h11
@@ -13,12 +15,17 @@
 from finchswitch.constants import PROOF_WAIT_MS
 from finchswitch.mishap import Mishap, MishapKind
 
-__all__ = ["RunnerProof"]
+__all__ = ["Permit", "RunnerProof"]
+
+
+class Permit(Protocol):
+    def permits(self, incarnation: str) -> bool:
+        """Whether a request may be put on a connection to this incarnation now."""
 
 
 class RunnerProof:
-    def __init__(self, runner: str, incarnation: str) -> None:
-        self._runner, self._incarnation = runner, incarnation
+    def __init__(self, runner: str, incarnation: str, permit: Permit) -> None:
+        self._runner, self._incarnation, self._permit = runner, incarnation, permit
 
     async def __call__(self, stream: ByteStream, address: str) -> None:
         with anyio.fail_after(PROOF_WAIT_MS / 1000):
@@ -26,6 +33,8 @@
         if answer.get("runner") != self._runner or answer.get("incarnation") != self._incarnation:
             shown = f"{answer.get('runner')}/{answer.get('incarnation')}"
             raise Mishap(MishapKind.REFUSED, "proof", address, f"{shown} is not {self._runner}/{self._incarnation}")
+        if not self._permit.permits(self._incarnation):
+            raise Mishap(MishapKind.REFUSED, "permit", address, "may not be sent to any more")
 
     async def _ask(self, stream: ByteStream, address: str) -> dict[str, object]:
         connection = h11.Connection(h11.CLIENT)
--- a/src/finchswitch/transit/roster.py
+++ b/src/finchswitch/transit/roster.py
@@ -10,11 +10,19 @@
 import httpx
 
 from finchswitch.charts import Walker, load_chart
-from finchswitch.constants import DOWN_MS, LIST_POLL_MS, LIST_UNKNOWN_MS, LIST_WAIT_MS, PROOF_WAIT_MS, RUNNER_SILENT_MS
+from finchswitch.constants import (
+    DOWN_MS,
+    LIST_POLL_MS,
+    LIST_UNKNOWN_MS,
+    LIST_WAIT_MS,
+    PEER_SILENT_MS,
+    PROOF_WAIT_MS,
+    RUNNER_SILENT_MS,
+)
 from finchswitch.logs import prefix
 from finchswitch.mishap import Mishap
 from finchswitch.transit.platform import Listed, fetch_list
-from finchswitch.transit.proof import RunnerProof
+from finchswitch.transit.proof import Permit, RunnerProof
 from finchswitch.wire import World
 
 __all__ = ["Known", "Roster", "RunnerState"]
@@ -40,18 +48,18 @@
 class Known:
     """One incarnation of a runner."""
 
-    def __init__(self, listed: Listed, world: World) -> None:
+    def __init__(self, listed: Listed, world: World, permit: Permit) -> None:
         self.runner, self.incarnation, self.address = listed.runner, listed.incarnation, listed.address
         self.walker = Walker(_CHART, f"{listed.runner}/{listed.incarnation}")
         self.downUntilMs = 0.0
         timeout = httpx.Timeout(RUNNER_SILENT_MS / 1000, connect=PROOF_WAIT_MS / 1000)
-        transport = world.http_transport(RunnerProof(listed.runner, listed.incarnation))
+        transport = world.http_transport(RunnerProof(listed.runner, listed.incarnation, permit))
         self.client = httpx.AsyncClient(transport=transport, timeout=timeout, trust_env=False)
 
 
 class Roster:
-    def __init__(self, world: World, platform: str) -> None:
-        self._world, self._platform = world, platform
+    def __init__(self, world: World, platform: str, permit: Permit) -> None:
+        self._world, self._platform, self._permit = world, platform, permit
         self._client = httpx.AsyncClient(transport=world.http_transport(), trust_env=False)
         self.known: dict[str, Known] = {}
         self._polledMs = -1e18
@@ -77,7 +85,7 @@
         for each in listed:
             known = self.known.get(each.incarnation)
             if known is None or known.address != each.address:
-                known = self.known[each.incarnation] = Known(each, self._world)
+                known = self.known[each.incarnation] = Known(each, self._world, self._permit)
                 _log.info("Runner {}/{} is listed at {}.", each.runner, each.incarnation, each.address)
             leaves = each.leaving or each.incarnation in self._leaving_told
             self._move(known, RunnerEvent.LEAVES if leaves else RunnerEvent.LISTED)
@@ -92,13 +100,16 @@
             _log.info("Runner {}/{} is {}.", known.runner, known.incarnation, after.value)
 
     def hear_peer(self, leaving: list[str], listAgeMs: float) -> None:
-        """A peer's word: who it saw leaving, and how old its list is."""
+        """A peer's answer: who it saw leaving, and how old its list was."""
+        self.hear_leaving(leaving)
+        self._heardMs = max(self._heardMs, self._world.nowMs() - listAgeMs - PEER_SILENT_MS)
+
+    def hear_leaving(self, leaving: list[str]) -> None:
         for incarnation in leaving:
             if incarnation not in self._leaving_told:
                 self._leaving_told.add(incarnation)
                 if incarnation in self.known:
                     self._move(self.known[incarnation], RunnerEvent.LEAVES)
-        self._heardMs = max(self._heardMs, self._world.nowMs() - listAgeMs)
 
     def leaving(self) -> list[str]:
         return sorted(each.incarnation for each in self.known.values() if each.walker.state is RunnerState.LEAVING)
@@ -118,6 +129,10 @@
         fit = [k for k in self.known.values() if k.walker.state is RunnerState.UP and k.downUntilMs <= nowMs]
         return {each.runner: each for each in fit}
 
+    def sendable(self, incarnation: str) -> bool:
+        """Whether the incarnation is still listed and not leaving, by a list that is not too old."""
+        return self.readable() and self.known[incarnation].walker.state is RunnerState.UP
+
     def down(self, known: Known, why: str) -> None:
         known.downUntilMs = self._world.nowMs() + DOWN_MS
         _log.info("Runner {} is passed over for now. {}", known.runner, why)
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -71,6 +71,7 @@
         return self._news.generation("creed") >= 1 and self.state.value != "stopping"
 
     patch.setattr(finchswitch.kinship.member.Member, "may_grant", always)
+    patch.setattr(finchswitch.kinship.member.Member, "may_send", always)
 
 
 def without_soft_stop(patch):
--- a/tests/test_real.py
+++ b/tests/test_real.py
@@ -14,6 +14,11 @@
 from finchswitch.wire.real import RealWorld
 
 
+class Anyone:
+    def permits(self, incarnation):
+        return True
+
+
 def free_address():
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
@@ -64,7 +69,7 @@
                 except OSError:
                     await anyio.lowlevel.checkpoint()
             for incarnation in ("i1", "i2"):
-                transport = world.http_transport(RunnerProof("r1", incarnation))
+                transport = world.http_transport(RunnerProof("r1", incarnation, Anyone()))
                 async with httpx.AsyncClient(transport=transport) as client:
                     if incarnation == "i1":
                         assert (await client.get(f"http://{address}/work")).status_code == 200
