What is long gone is forgotten: runners, peers, addresses; dark nodes by word

Cause, by reading: maps by incarnation, name and address only grew; a node's list of control addresses kept dead ones; and routing nodes lost for good without a refused connection could keep every later change at 202. Ruled out as a cure: dropping dark nodes by time, since they may serve on by each other's word for as long as they are cut off. Tested: three of four nodes dark hold a change at 202 and no longer once declared gone; a runner long unlisted is forgotten, that it was leaving is not; garbage at the doors harms nobody.

--- a/src/finchswitch/accord/asks.py
+++ b/src/finchswitch/accord/asks.py
@@ -35,6 +35,8 @@
         council.sessions.leave(field(asked.body, "name", str, asked.peer))
         council.tempo.kick()
         return {}
+    if asked.kind == "session.forget":
+        return {"forgotten": council.sessions.forget(field(asked.body, "name", str, asked.peer))}
     if asked.kind == "kin.beat":
         council.hear_kin(asked.body, asked.peer, None)
         return council.beat_body()
--- a/src/finchswitch/accord/council.py
+++ b/src/finchswitch/accord/council.py
@@ -134,6 +134,7 @@
 
     async def beat_all(self) -> None:
         while True:
+            self.kindred.forget_silent(self.startup.seeds, self.world.nowMs())
             for address in sorted(self.kindred.addresses):
                 self.group.start_soon(self._beat_one, address)
             await self.tempo.pause(BEAT_MS)
--- a/src/finchswitch/accord/desk.py
+++ b/src/finchswitch/accord/desk.py
@@ -16,6 +16,7 @@
 from finchswitch.accord.council import Council
 from finchswitch.accord.document import part_names
 from finchswitch.constants import CHANGE_MOST_BYTES, CREED_PART, RETRY_AFTER_LEAST_S, RETRY_AFTER_MOST_S
+from finchswitch.mishap import Mishap
 from finchswitch.wire.strict import read_json
 
 __all__ = ["make_desk"]
@@ -43,6 +44,12 @@
         body = {"generation": council.news.generation(CREED_PART), "current": current}
         return JSONResponse({**body, "configuration": council.news.body(CREED_PART)})
 
+    async def forget(request: Request) -> Response:
+        name = request.path_params["name"]
+        forgotten = await forget_everywhere(council, name)
+        reason = {} if forgotten else {"reason": f"no control node holds {name} as dark"}
+        return _json(council, {"status": 200 if forgotten else 404, "name": name, **reason})
+
     async def members(request: Request) -> Response:
         return JSONResponse(_members(council))
 
@@ -61,6 +68,7 @@
             Route("/v1/changes", change, methods=["POST"]),
             Route("/v1/configuration", configuration),
             Route("/v1/members", members),
+            Route("/v1/members/{name}", forget, methods=["DELETE"]),
             Route("/v1/parts", parts),
             Route("/v1/plans", plans),
             Route("/ready", ready),
@@ -75,6 +83,19 @@
     return JSONResponse(answer, answer["status"], headers=headers)
 
 
+async def forget_everywhere(council: Council, name: str) -> bool:
+    """Tell every control node that a dark routing node is gone; whether any held it."""
+    forgotten = council.sessions.forget(name)
+    for kin in council.kindred.alive(council.world.nowMs()):
+        try:
+            answer = await council.book.ask(kin.address, "session.forget", {"name": name})
+            forgotten = forgotten or answer.get("forgotten") is True
+        except Mishap:
+            continue
+    council.tempo.kick()
+    return forgotten
+
+
 def gathered(council: Council, kind: str) -> dict[str, Any]:
     """One kind of entry from all the services' parts."""
     found: dict[str, Any] = {}
--- a/src/finchswitch/affinity/burden.py
+++ b/src/finchswitch/affinity/burden.py
@@ -54,6 +54,13 @@
         before = self._seatMs.get(incarnation, tookMs)
         self._seatMs[incarnation] = before + SMOOTH_SHARE * (tookMs - before)
 
+    def busy(self, incarnation: str) -> bool:
+        return self._own.get(incarnation, Load()).seats > 0
+
+    def forget(self, incarnation: str) -> None:
+        for kept in (self._own, self._reports, self._seatMs, self._pace, self._waiting):
+            kept.pop(incarnation, None)
+
     def spoken(self) -> dict[str, list[float]]:
         """Own burden, in the form in which peers are told."""
         return {inc: [load.seats, load.prefillTokens] for inc, load in self._own.items() if load.seats}
--- a/src/finchswitch/constants.py
+++ b/src/finchswitch/constants.py
@@ -57,6 +57,7 @@
 VITALS_OLD_MS: Final = 3_000  # a report older than this no longer counts
 PROOF_WAIT_MS: Final = 1_000  # connecting and proving an identity
 RUNNER_SILENT_MS: Final = 10_000  # between pieces; a runner dark for this long is a mishap
+FORGET_MS: Final = 60_000  # what is unlisted or silent this long is forgotten, so that memory stays bounded
 DOWN_MS: Final = 2_000  # a runner that refused or broke connections is passed over this long
 FIRST_WAIT_SHARE: Final = 2.0  # of the due: how long a first token is awaited past the estimate that met it
 PLAN_STEP_MS: Final = 1_000  # between two steps of a plan: an arriving home warms before the next share moves
--- a/src/finchswitch/kinship/kin.py
+++ b/src/finchswitch/kinship/kin.py
@@ -9,7 +9,7 @@
 
 from finchswitch.accord.acceptor import read_ballot
 from finchswitch.accord.document import Ballot
-from finchswitch.constants import CONTROL_SILENT_MS
+from finchswitch.constants import CONTROL_SILENT_MS, FORGET_MS
 from finchswitch.wire import Message
 from finchswitch.wire import field as read
 
@@ -71,6 +71,13 @@
         if kin.address != self._own:
             self.addresses.add(kin.address)
 
+    def forget_silent(self, seeds: list[str], nowMs: float) -> None:
+        """Control nodes silent for long; the seeds are asked forever."""
+        for kin in [each for each in self.by_store.values() if nowMs - each.heardMs > FORGET_MS]:
+            del self.by_store[kin.store]
+            if kin.address not in seeds:
+                self.addresses.discard(kin.address)
+
     def alive(self, nowMs: float) -> list[Kin]:
         return [each for each in self.by_store.values() if nowMs - each.heardMs <= CONTROL_SILENT_MS]
 
--- a/src/finchswitch/kinship/member.py
+++ b/src/finchswitch/kinship/member.py
@@ -16,6 +16,7 @@
     CONTROL_GRACE_MS,
     CONTROL_SILENT_MS,
     CREED_PART,
+    FORGET_MS,
     PEER_BEAT_MS,
     PEER_SILENT_MS,
 )
@@ -63,6 +64,7 @@
         self._world, self._book, self._news = world, book, news
         self.card = card  # name, address, http, district, incarnation
         self._walker = Walker(_CHART, card["name"])
+        self._seeds = list(seeds)
         self.controls = list(seeds)
         self.control = ""
         self.members: list[Message] = []
@@ -148,25 +150,32 @@
 
     def _hear_control(self, answer: Message, askedMs: float) -> None:
         controls, generations = field(answer, "controls", list), field(answer, "generations", dict)
-        for address in controls:
-            if address not in self.controls:
-                self.controls.append(address)
         for part, generation in generations.items():
             self._told[part] = max(self._told.get(part, -1), generation)
         if answer.get("current") is not True:
             self._elsewhere()
             return
         self._currentMs = askedMs
+        self.controls = sorted({*self._seeds, *controls})
         self.members, self._listed = field(answer, "members", list), True
 
     async def beat_peers(self, own_word: Word) -> None:
         """Tell every peer known this node's word, and hear theirs."""
         while True:
+            self._forget_silent()
             for address in sorted({each["address"] for each in [*self.members, *self.peers.values()]}):
                 if address != self.card["address"]:
                     own_word.group.start_soon(self._beat_one, address, own_word)
             await self._world.sleep(PEER_BEAT_MS)
 
+    def _forget_silent(self) -> None:
+        """Peers that control does not list and that have been silent for long."""
+        nowMs, listed = self._world.nowMs(), {each["name"] for each in self.members}
+        if self._controlled():
+            for name in [each for each in self.peers if each not in listed]:
+                if nowMs - self.heardMs.setdefault(name, nowMs) > FORGET_MS:
+                    del self.peers[name], self.heardMs[name]
+
     async def _beat_one(self, address: str, own_word: Word) -> None:
         askedMs = self._world.nowMs()
         try:
--- a/src/finchswitch/kinship/sessions.py
+++ b/src/finchswitch/kinship/sessions.py
@@ -95,6 +95,15 @@
             session.walker.take(SessionEvent.REFUSED)
             _log.info("{} is gone; its door refuses.", name)
 
+    def forget(self, name: str) -> bool:
+        """An operator's word that a dark node is gone for good."""
+        session = self._own.get(name)
+        if session is None or session.walker.state is not SessionState.DARK:
+            return False
+        session.walker.take(SessionEvent.REFUSED)
+        _log.info("{} is gone, as the operator says.", name)
+        return True
+
     def own(self, nowMs: float) -> list[Message]:
         """This node's sessions, in the form in which control nodes tell them."""
         return [
--- a/src/finchswitch/programs/operate.py
+++ b/src/finchswitch/programs/operate.py
@@ -24,7 +24,7 @@
 
 
 def add_to(app: typer.Typer) -> None:
-    for command in (check, change, configuration, members, parts, plans, hot, homes, mirror, replay):
+    for command in (check, change, configuration, members, parts, plans, hot, homes, forget, mirror, replay):
         app.command()(command)
 
 
@@ -99,6 +99,17 @@
     _show(_get(at, "/v1/plans")["hot"], as_json)
 
 
+def forget(at: At, node: Annotated[str, typer.Argument(help="A routing node that is dark.")]) -> None:
+    """Say that a dark routing node is gone for good, so that changes need not wait for it."""
+    try:
+        response = httpx.delete(f"http://{at}/v1/members/{node}", timeout=5, trust_env=False)
+    except httpx.HTTPError as error:
+        typer.echo(f"{at} cannot be asked: {error!r}", err=True)
+        raise typer.Exit(3) from None
+    typer.echo(f"{node}: {'forgotten' if response.status_code == 200 else response.json().get('reason')}")
+    raise typer.Exit(0 if response.status_code == 200 else 1)
+
+
 def homes(
     at: At,
     service: Annotated[str, typer.Argument(help="The service.")],
--- a/src/finchswitch/transit/node.py
+++ b/src/finchswitch/transit/node.py
@@ -10,7 +10,7 @@
 
 from finchswitch.accord.document import part_of
 from finchswitch.affinity import Beliefs, Burdens, Drawn, Draws, Opening, Popularity, Seatable, owners
-from finchswitch.constants import CREED_PART, HOT_MOST
+from finchswitch.constants import CREED_PART, FORGET_MS, HOT_MOST
 from finchswitch.creed import Creed, read_creed
 from finchswitch.kinship.member import Member
 from finchswitch.relay import NewsBook
@@ -138,6 +138,16 @@
             return Refusal(429, "no runner can give a timely first token")
         return drawn, dueMs
 
+    async def forget_gone(self) -> None:
+        """Forget incarnations that are long unlisted and carry nothing of ours."""
+        while True:
+            await self.world.sleep(FORGET_MS / 4)
+            for incarnation in self.roster.long_gone():
+                if not self.burdens.busy(incarnation):
+                    self.burdens.forget(incarnation)
+                    self.beliefs.forget(incarnation)
+                    await self.roster.forget(incarnation)
+
     def take_seat(self, drawn: Drawn) -> Seat:
         self.vitals["granted"] += 1
         self.ways[drawn.way.value] = self.ways.get(drawn.way.value, 0) + 1
--- a/src/finchswitch/transit/roster.py
+++ b/src/finchswitch/transit/roster.py
@@ -12,6 +12,7 @@
 from finchswitch.charts import Walker, load_chart
 from finchswitch.constants import (
     DOWN_MS,
+    FORGET_MS,
     LIST_POLL_MS,
     LIST_UNKNOWN_MS,
     LIST_WAIT_MS,
@@ -52,6 +53,7 @@
         self.runner, self.incarnation, self.address = listed.runner, listed.incarnation, listed.address
         self.walker = Walker(_CHART, f"{listed.runner}/{listed.incarnation}")
         self.downUntilMs = 0.0
+        self.listedMs = world.nowMs()
         timeout = httpx.Timeout(RUNNER_SILENT_MS / 1000, connect=PROOF_WAIT_MS / 1000)
         transport = world.http_transport(RunnerProof(listed.runner, listed.incarnation, permit))
         self.client = httpx.AsyncClient(transport=transport, timeout=timeout, trust_env=False)
@@ -87,6 +89,7 @@
             if known is None or known.address != each.address:
                 known = self.known[each.incarnation] = Known(each, self._world, self._permit)
                 _log.info("Runner {}/{} is listed at {}.", each.runner, each.incarnation, each.address)
+            known.listedMs = self._world.nowMs()
             leaves = each.leaving or each.incarnation in self._leaving_told
             self._move(known, RunnerEvent.LEAVES if leaves else RunnerEvent.LISTED)
         for incarnation, known in self.known.items():
@@ -129,9 +132,22 @@
         fit = [k for k in self.known.values() if k.walker.state is RunnerState.UP and k.downUntilMs <= nowMs]
         return {each.runner: each for each in fit}
 
+    def long_gone(self) -> list[str]:
+        """Incarnations that the list has not shown for long."""
+        nowMs = self._world.nowMs()
+        return [inc for inc, known in self.known.items() if nowMs - known.listedMs > FORGET_MS]
+
+    async def forget(self, incarnation: str) -> None:
+        """Drop an incarnation and its client; that it was leaving stays known."""
+        known = self.known.pop(incarnation)
+        if known.walker.state is RunnerState.LEAVING:
+            self._leaving_told.add(incarnation)
+        await known.client.aclose()
+
     def sendable(self, incarnation: str) -> bool:
         """Whether the incarnation is still listed and not leaving, by a list that is not too old."""
-        return self.readable() and self.known[incarnation].walker.state is RunnerState.UP
+        known = self.known.get(incarnation)
+        return self.readable() and known is not None and known.walker.state is RunnerState.UP
 
     def down(self, known: Known, why: str) -> None:
         known.downUntilMs = self._world.nowMs() + DOWN_MS
--- /dev/null
+++ b/tests/test_forgetting.py
@@ -0,0 +1,76 @@
+"""What is gone for long is forgotten, by time or by an operator's word, and garbage at a door harms nobody."""
+
+import json
+
+import anyio
+import httpx
+
+from finchswitch.rehearsal.scenes import mark_edit, open_up
+
+GOOD = json.dumps({"model": "rulings", "stream": True, "messages": [{"role": "user", "content": "hi"}]}).encode()
+HEAD = b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
+WHOLE = HEAD + b"Content-Length: %d\r\n\r\n" % len(GOOD) + GOOD
+
+
+def test_dark_nodes_hold_changes_up_until_declared_gone(staged):
+    async def scene(theatre):
+        await open_up(theatre)
+        dark = ["transit1", "transit2", "transit3"]
+        for name in dark:
+            theatre.kill(name, power=True)
+        await theatre.outside.sleep(5_000)
+        assert (await theatre.change(1, mark_edit("mark-a"))).status == 202
+        async with httpx.AsyncClient(transport=theatre.outside.http_transport(), timeout=9) as client:
+            assert (await client.delete("http://10.0.9.1:8000/v1/members/transit4")).status_code == 404
+            for name in dark:
+                assert (await client.delete(f"http://10.0.9.1:8000/v1/members/{name}")).status_code == 200
+        await theatre.outside.sleep(1_000)
+        assert (await theatre.change(2, mark_edit("mark-b"))).status == 200
+        for name in dark:
+            theatre.start(name)
+        assert await theatre.settle()
+        assert (await theatre.change(3, mark_edit("mark-c"))).status == 200
+
+    staged(scene)
+
+
+def test_a_runner_long_unlisted_is_forgotten_but_not_that_it_was_leaving(staged):
+    async def scene(theatre):
+        await open_up(theatre)
+        await theatre.call(2_000, 1.0)
+        gone = "village-r1-i1"
+        theatre.leave(gone)
+        await theatre.outside.sleep(1_000)
+        point = theatre.platform.points.pop(gone)
+        await theatre.outside.sleep(90_000)
+        node = theatre.actors["transit1"].node
+        assert gone not in node.roster.known and gone not in node.beliefs.counts()
+        theatre.platform.points[gone] = (point[0], point[1], False)
+        await theatre.outside.sleep(1_000)
+        assert node.roster.known[gone].walker.state.value == "leaving"
+
+    staged(scene)
+
+
+def test_garbage_at_the_doors_harms_nobody(staged):
+    garbage = [b"\x00\xff" * 50, b"GET / HTTP/1.1\r\n\r\n", b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", WHOLE * 2, WHOLE[:40]]
+    garbage += [HEAD + b"Transfer-Encoding: chunked\r\n\r\n5\r\nabc", b"A" * 200_000, WHOLE + b"garbage"]
+
+    async def scene(theatre):
+        await open_up(theatre)
+        for at in range(80):
+            stream = await theatre.outside.dial(["10.0.1.1:8000", "10.0.9.1:8000"][at % 2], 500)
+            with anyio.move_on_after(theatre.chance.uniform(0, 0.2)):
+                try:
+                    await stream.send(garbage[at % len(garbage)])
+                    while True:
+                        await stream.receive()
+                except (anyio.EndOfStream, anyio.BrokenResourceError):
+                    pass
+            await stream.aclose()
+        await theatre.outside.sleep(1_000)
+        assert not theatre.actors["transit1"].node.underway
+        await theatre.call(1_000, 1.0)
+        assert all(call.outcome == "complete" for call in theatre.history.calls)
+
+    staged(scene)
