--- a/src/finchswitch/creed/check.py
+++ b/src/finchswitch/creed/check.py
@@ -4,6 +4,8 @@
 by the control nodes before a change is proposed, and by the routing nodes when news arrives.
 """
 
+import dataclasses
+import json
 import re
 from typing import Any
 
@@ -17,6 +19,14 @@
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._/-]{0,99}\Z")
 _KINDS: dict[str, type] = {"services": Service, "runners": Runner, "bindings": Binding, "plans": Plan}
 
+_KINDS_OF_VALUE: dict[Any, str] = {
+    int: "a whole number",
+    float: "a number",
+    str: "a string",
+    list[str]: "a list of strings",
+    PlanStep: "running, paused or abandoned",
+}
+
 
 def read_creed(raw: Any) -> Result[Creed, list[str]]:
     """Read and check plain JSON.
@@ -25,6 +35,8 @@
     ['services.m.dueMs: 0 is not within 50 and 120000']
     >>> read_creed({"sevrices": {}}).failure()
     ['sevrices: no such kind of entry']
+    >>> read_creed({"runners": {"r": {"slots": True, "colour": 1}}, "settings": {"spillShare": 1}}).failure()
+    ['runners.r.colour: no such field', 'runners.r.slots: true is not a whole number']
     """
     if not isinstance(raw, dict):
         return Failure(["configuration: not an object"])
@@ -39,13 +51,13 @@
             if not _NAME.match(name):
                 wrong.append(f"{kind}.{name[:100]}: not a name")
             read = _read(shape, value, f"{kind}.{name}")
-            if isinstance(read, str):
-                wrong.append(read)
+            if isinstance(read, list):
+                wrong.extend(read)
             else:
                 getattr(creed, kind)[name] = read
     settings = _read(Settings, raw.get("settings", {}), "settings")
-    if isinstance(settings, str):
-        wrong.append(settings)
+    if isinstance(settings, list):
+        wrong.extend(settings)
     else:
         creed.settings = settings
     wrong.extend(check_creed(creed) if not wrong else [])
@@ -53,12 +65,34 @@
 
 
 def _read(shape: type, value: Any, where: str) -> Any:
+    """The entry, or the list of every field that is not as it should be."""
     if not isinstance(value, dict):
-        return f"{where}: not an object"
+        return [f"{where}: not an object"]
+    fields = {each.name: each for each in dataclasses.fields(shape)}
+    wrong = [f"{where}.{name}: no such field" for name in value if name not in fields]
+    content = dict(value)
+    for name, each in fields.items():
+        if name not in value:
+            needed = each.default is dataclasses.MISSING and each.default_factory is dataclasses.MISSING
+            wrong += [f"{where}.{name}: missing"] if needed else []
+        elif each.type is float and type(value[name]) is int:
+            content[name] = float(value[name])
+        elif not _fits(value[name], each.type):
+            wrong.append(f"{where}.{name}: {json.dumps(value[name])[:60]} is not {_KINDS_OF_VALUE[each.type]}")
+    if wrong:
+        return wrong
     try:
-        return from_dict(shape, value)
+        return from_dict(shape, content)
     except SerdeError as error:
-        return f"{where}: {' '.join(str(error).split())}"
+        return [f"{where}: {' '.join(str(error).split())}"]
+
+
+def _fits(value: Any, kind: Any) -> bool:
+    if kind == list[str]:
+        return isinstance(value, list) and all(type(each) is str for each in value)
+    if kind is PlanStep:
+        return value in [step.value for step in PlanStep]
+    return type(value) is kind
 
 
 def check_creed(creed: Creed) -> list[str]:
