What a peer sends is read under one guard: a wrong shape is a mishap, not an end

Cause, by reading: news, session answers, beats and votes of a wrong shape raised KeyError and its kin in loops that only expect mishaps, which would have ended the process. Also: a spare that cannot learn no longer makes the owner step down; spares are tried by chance.

--- a/src/finchswitch/accord/council.py
+++ b/src/finchswitch/accord/council.py
@@ -23,7 +23,7 @@
 from finchswitch.mishap import Mishap
 from finchswitch.relay import NewsBook
 from finchswitch.shelf import Disk
-from finchswitch.wire import Book, Message, World
+from finchswitch.wire import Book, Message, World, field, reading
 
 __all__ = ["Council"]
 
@@ -143,10 +143,12 @@
         askedMs = self.world.nowMs()
         try:
             answer = await self.book.ask(address, "kin.beat", self.beat_body(), CONTROL_SILENT_MS)
-            self.hear_kin(answer, address, askedMs)
             have = self.news.generations()
-            if any(generation > have.get(part, -1) for part, generation in answer["generations"].items()):
+            with reading("beat", address):
+                self.hear_kin(answer, address, askedMs)
+                behind = any(generation > have.get(part, -1) for part, generation in answer["generations"].items())
+            if behind:
                 followed = await self.book.ask(address, "news.follow", {"have": have, "holdMs": 0})
-                self.news.take_in(followed["news"], address)
+                self.news.take_in(field(followed, "news", dict, address), address)
         except Mishap as mishap:
             _log.debug("A beat went unanswered. {}", mishap)
--- a/src/finchswitch/accord/tending.py
+++ b/src/finchswitch/accord/tending.py
@@ -102,10 +102,15 @@
     if not silent or not spares:
         return
     body = {"part": part, "ballot": register.ballot, "document": document}
-    await council.chamber.vote(spares[0], "vote.learn", body, PREPARE_WAIT_MS)
-    swapped = [spares[0] if store == silent[0] else store for store in group]
+    spare = council.world.chance.choice(sorted(spares))
+    try:
+        await council.chamber.vote(spare, "vote.learn", body, PREPARE_WAIT_MS)
+    except Mishap as mishap:
+        _log.warning("A spare does not learn. {}", mishap)
+        return
+    swapped = [spare if store == silent[0] else store for store in group]
     await register.commit(document, succeed(document, document["body"], None, swapped))
     council.announce(part)
-    _log.warning("Swapped {} for {} in {}.", silent[0], spares[0], part)
+    _log.warning("Swapped {} for {} in {}.", silent[0], spare, part)
 
 
--- a/src/finchswitch/accord/voting.py
+++ b/src/finchswitch/accord/voting.py
@@ -15,7 +15,7 @@
 from finchswitch.kinship.kin import Kindred
 from finchswitch.logs import prefix
 from finchswitch.mishap import Mishap
-from finchswitch.wire import Book, Message, field
+from finchswitch.wire import Book, Message, field, reading
 
 __all__ = ["Chamber", "Committed"]
 
@@ -23,6 +23,21 @@
 Committed = tuple[str, Document]
 
 
+def _check(kind: str, answer: Message) -> None:
+    """The shape that a register relies on."""
+    if kind == "vote.commit":
+        return
+    read_ballot(answer["promised"])
+    field(answer, "yes", bool)
+    if kind == "vote.accept":
+        field(answer, "lacks", bool)
+    elif kind == "vote.prepare":
+        read_ballot(answer["ballot"])
+        document = field(answer, "document", dict)
+        for name, shape in (("step", int), ("generation", int), ("group", list), ("former", list), ("body", dict)):
+            field(document, name, shape)
+
+
 class Chamber:
     def __init__(self, store: Store, kindred: Kindred, book: Book, group: TaskGroup) -> None:
         self._store, self._kindred, self._book, self._group = store, kindred, book, group
@@ -42,7 +57,10 @@
     async def _vote_back(self, store: str, kind: str, body: Message, waitMs: float, back: Any) -> None:
         answer: Message | None = None
         try:
-            answer = await self.vote(store, kind, body, waitMs)
+            answered = await self.vote(store, kind, body, waitMs)
+            with reading(kind, store):
+                _check(kind, answered)
+            answer = answered
         except Mishap as mishap:
             _log.info("A vote is missing. {}", mishap)
         try:
--- a/src/finchswitch/kinship/member.py
+++ b/src/finchswitch/kinship/member.py
@@ -25,7 +25,7 @@
 from finchswitch.logs import prefix
 from finchswitch.mishap import Mishap
 from finchswitch.relay import NewsBook
-from finchswitch.wire import Book, Message, World, field
+from finchswitch.wire import Book, Message, World, field, reading
 
 __all__ = ["Member", "NodeState", "Word"]
 
@@ -137,7 +137,8 @@
             askedMs = self._world.nowMs()
             try:
                 answer = await self._book.ask(self.control, "session.beat", body, CONTROL_SILENT_MS)
-                self._hear_control(answer, askedMs)
+                with reading("session", self.control):
+                    self._hear_control(answer, askedMs)
             except Mishap as mishap:
                 _log.info("No session with {}. {}", self.control, mishap)
                 self._elsewhere()
--- a/src/finchswitch/relay/follow.py
+++ b/src/finchswitch/relay/follow.py
@@ -10,7 +10,7 @@
 from finchswitch.mishap import Mishap, MishapKind
 from finchswitch.relay.news import NewsBook
 from finchswitch.relay.tree import parent_of
-from finchswitch.wire import Book, World
+from finchswitch.wire import Book, World, field
 
 __all__ = ["Follower"]
 
@@ -33,7 +33,7 @@
             body = {"have": self._news.generations(), "holdMs": FOLLOW_HOLD_MS}
             try:
                 answer = await self._book.ask(self.source, "news.follow", body, PARENT_SILENT_MS)
-                for part in self._news.take_in(answer["news"], self.source):
+                for part in self._news.take_in(field(answer, "news", dict, self.source), self.source):
                     _log.info("{} is at generation {}.", part, self._news.generation(part))
                     self._member.tempo.kick()
             except Mishap as mishap:
@@ -48,7 +48,7 @@
         try:
             body = {"have": {}, "holdMs": 0}
             answer = await self._book.ask(self.source, "news.follow", body, PARENT_SILENT_MS)
-            self._news.take_in(answer["news"], self.source)
+            self._news.take_in(field(answer, "news", dict, self.source), self.source)
         except Mishap as mishap:
             _log.info("No snapshot. {}", mishap)
             self._passed[self.source] = self._world.nowMs() + ELSEWHERE_MS
--- a/src/finchswitch/relay/news.py
+++ b/src/finchswitch/relay/news.py
@@ -12,7 +12,7 @@
 from finchswitch.constants import NEWS_KEEP
 from finchswitch.creed import apply_edits, edits_between
 from finchswitch.mishap import Mishap, MishapKind
-from finchswitch.wire import Message, field
+from finchswitch.wire import Message, field, reading
 
 __all__ = ["NewsBook"]
 
@@ -73,7 +73,8 @@
 
     def take_in(self, news: Message, peer: str) -> list[str]:
         """Take what a parent sent; names of the parts that moved."""
-        return [part for part, item in news.items() if self._take_item(part, item, peer)]
+        with reading("news", peer):
+            return [part for part, item in news.items() if self._take_item(part, item, peer)]
 
     def _take_item(self, part: str, item: Message, peer: str) -> bool:
         generation = field(item, "generation", int, peer)
--- a/src/finchswitch/wire/link.py
+++ b/src/finchswitch/wire/link.py
@@ -6,8 +6,8 @@
 """
 
 import itertools
-from collections.abc import AsyncIterator, Awaitable
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Awaitable, Iterator
+from contextlib import asynccontextmanager, contextmanager
 from dataclasses import dataclass
 from typing import Any
 
@@ -15,6 +15,7 @@
 from anyio.abc import ByteStream, TaskGroup
 from anyio.streams.buffered import BufferedByteReceiveStream
 from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
+from returns.primitives.exceptions import UnwrapFailedError
 
 from finchswitch.constants import ASK_WAIT_MS, DIAL_WAIT_MS, INBOX_MOST
 from finchswitch.logs import prefix
@@ -22,7 +23,7 @@
 from finchswitch.wire.netstring import Message, pack, unpack_next
 from finchswitch.wire.world import World
 
-__all__ = ["GONE", "Asked", "Book", "field", "serve_asks", "settle"]
+__all__ = ["GONE", "Asked", "Book", "field", "reading", "serve_asks", "settle"]
 
 GONE = "gone"  # the kind under which a closed connection is told to the program's loop
 
@@ -42,6 +43,15 @@
     return value
 
 
+@contextmanager
+def reading(step: str, peer: str) -> Iterator[None]:
+    """What a peer sent is being read: a wrong shape anywhere in it is the peer's mishap, not an end of this process."""
+    try:
+        yield
+    except (LookupError, TypeError, ValueError, AttributeError, UnwrapFailedError) as wrong:
+        raise Mishap(MishapKind.BROKEN, step, peer, f"not of the agreed shape: {wrong!r}") from None
+
+
 class _Line:
     """A connection with its send lock."""
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -5,6 +5,7 @@
 
 from finchswitch.mishap import Mishap, MishapKind
 from finchswitch.rehearsal.scenes import open_up
+from finchswitch.relay import NewsBook
 from finchswitch.wire import Book
 from finchswitch.wire.netstring import pack
 
@@ -114,3 +115,36 @@
         assert all(call.outcome == "complete" for call in theatre.history.calls)
 
     staged(scene)
+
+
+@pytest.mark.parametrize(
+    "news",
+    [
+        {"creed": []},
+        {"creed": {"generation": "x", "body": {}}},
+        {"creed": {"generation": 9, "body": 5}},
+        {"creed": {"generation": 9, "changes": [[1]]}},
+        {"creed": {"generation": 9, "changes": [[3, 9, [{"kind": "runners"}]]]}},
+        {"creed": {"generation": 9, "changes": [[3, 9, [{"kind": "runners", "name": "no", "value": None}]]]}},
+    ],
+)
+def test_bad_news_is_a_mishap_and_changes_nothing(news):
+    book = NewsBook()
+    book.take("creed", 3, {"runners": {"r": {}}})
+    with pytest.raises(Mishap):
+        book.take_in(news, "peer")
+    assert (book.generation("creed"), book.body("creed")) == (3, {"runners": {"r": {}}})
+
+
+def test_a_vote_of_the_wrong_shape_does_not_count(staged, monkeypatch):
+    async def scene(theatre):
+        await open_up(theatre)
+        theatre.kill("accord1")
+        twisted = theatre.actors["accord2"].council.store.acceptors["creed"]
+        monkeypatch.setattr(twisted, "prepare", lambda ballot: {"yes": "yes", "promised": 5, "document": []})
+        await theatre.outside.sleep(2_000)
+        assert theatre.actors["accord2"].group is not None and theatre.actors["accord3"].group is not None
+        monkeypatch.undo()
+        assert (await theatre.insist({"edits": [{"kind": "services", "name": "x", "value": {}}]})).status == 200
+
+    staged(scene)
