--- a/src/finchswitch/accord/tending.py
+++ b/src/finchswitch/accord/tending.py
@@ -112,5 +112,3 @@
     await register.commit(document, succeed(document, document["body"], None, swapped))
     council.announce(part)
     _log.warning("Swapped {} for {} in {}.", silent[0], spare, part)
-
-
--- a/src/finchswitch/affinity/__init__.py
+++ b/src/finchswitch/affinity/__init__.py
@@ -6,7 +6,7 @@
 
 from finchswitch.affinity.beliefs import Beliefs
 from finchswitch.affinity.burden import Burdens, Load
-from finchswitch.affinity.draw import Drawn, Draws, Seatable, Way, owners
+from finchswitch.affinity.draw import Choices, Drawn, Draws, Seatable, Way, owners
 from finchswitch.affinity.homes import home_order
 from finchswitch.affinity.opening import Opening, opening_of
 from finchswitch.affinity.popularity import Popularity, pick_hot
@@ -14,6 +14,7 @@
 __all__ = [
     "Beliefs",
     "Burdens",
+    "Choices",
     "Drawn",
     "Draws",
     "Load",
--- a/src/finchswitch/affinity/draw.py
+++ b/src/finchswitch/affinity/draw.py
@@ -15,7 +15,7 @@
 from finchswitch.affinity.opening import Opening
 from finchswitch.constants import COPY_SHARE, SECOND_HOMES, TOLD_TOKENS
 
-__all__ = ["Drawn", "Draws", "Seatable", "Way"]
+__all__ = ["Choices", "Drawn", "Draws", "Seatable", "Way"]
 
 
 class Way(Enum):
@@ -47,6 +47,19 @@
     firstMs: float
 
 
+@dataclass(frozen=True)
+class Choices:
+    """What there is to draw from: the hot set, runners that may be seated, and those that own openings.
+
+    Among the owners may be some that cannot be seated now.
+    """
+
+    hot: list[str]
+    runners: list[Seatable]
+    homes: list[str]
+    spillShare: float
+
+
 class Draws:
     def __init__(self, beliefs: Beliefs, burdens: Burdens, chance: Random) -> None:
         self._beliefs, self._burdens, self._chance = beliefs, burdens, chance
@@ -63,46 +76,26 @@
         firstMs = plainMs * self._burdens.pace(runner.incarnation, nowMs)
         return Drawn(runner, opening, way, tokens, plainMs, firstMs)
 
-    def draw(
-        self,
-        opening: Opening,
-        hot: list[str],
-        runners: list[Seatable],
-        homes: list[str],
-        spillShare: float,
-        dueMs: float,
-        nowMs: float,
-    ) -> Drawn | None:
-        """A runner for the prompt, or None when none can be timely.
-
-        ``homes`` names the runners that own openings, among them such as cannot be seated now.
-        """
-        if not runners:
+    def draw(self, opening: Opening, choices: Choices, dueMs: float, nowMs: float) -> Drawn | None:
+        """A runner for the prompt, or None when none can be timely."""
+        if not choices.runners:
             return None
-        first = self._first(opening, hot, runners, homes, spillShare, nowMs)
+        first = self._first(opening, choices, nowMs)
         if first.firstMs <= dueMs:
             return first
-        others = [self.estimate(opening, each, Way.TIMELY, nowMs) for each in runners]
+        others = [self.estimate(opening, each, Way.TIMELY, nowMs) for each in choices.runners]
         timely = min(others, key=lambda each: each.firstMs)
         return timely if timely.firstMs <= dueMs else None
 
-    def _first(
-        self,
-        opening: Opening,
-        hot: list[str],
-        runners: list[Seatable],
-        homes: list[str],
-        spillShare: float,
-        nowMs: float,
-    ) -> Drawn:
+    def _first(self, opening: Opening, choices: Choices, nowMs: float) -> Drawn:
         """The design's two rules, before time is looked at."""
-        by_name = {each.runner: each for each in runners}
-        if opening.digest in hot:
+        by_name = {each.runner: each for each in choices.runners}
+        if opening.digest in choices.hot:
             names = self._copied(opening, by_name, nowMs)
             pair = self._chance.sample(names, min(2, len(names)))
             both = [self.estimate(opening, by_name[name], Way.HOT, nowMs) for name in pair]
             return min(both, key=lambda each: self._share(each.runner, nowMs))
-        return self._home(opening, by_name, homes, spillShare, nowMs)
+        return self._home(opening, by_name, choices, nowMs)
 
     def _copied(self, opening: Opening, by_name: dict[str, Seatable], nowMs: float) -> list[str]:
         """All runners; for a large opening mostly those believed to hold it, so that copies are made one by one."""
@@ -112,13 +105,11 @@
         held = [each for each in names if self._beliefs.holds(by_name[each].incarnation, opening.digest, nowMs)]
         return held or names
 
-    def _home(
-        self, opening: Opening, by_name: dict[str, Seatable], homes: list[str], spillShare: float, nowMs: float
-    ) -> Drawn:
-        owned = home_order(opening.digest, homes)
+    def _home(self, opening: Opening, by_name: dict[str, Seatable], choices: Choices, nowMs: float) -> Drawn:
+        owned = home_order(opening.digest, choices.homes)
         order = [name for name in owned if name in by_name] or home_order(opening.digest, list(by_name))
         for name in order[: 1 + SECOND_HOMES]:
-            if self._share(by_name[name], nowMs) < spillShare:
+            if self._share(by_name[name], nowMs) < choices.spillShare:
                 way = Way.HOME if name == owned[0] else Way.SPILL
                 return self.estimate(opening, by_name[name], way, nowMs)
         spilled = [self.estimate(opening, by_name[name], Way.SPILL, nowMs) for name in order[: 1 + SECOND_HOMES]]
--- a/src/finchswitch/constants.py
+++ b/src/finchswitch/constants.py
@@ -102,3 +102,28 @@
 # Stopping
 STOP_SETTLE_MS: Final = 500  # after unready and before the door closes: the platform looks again meanwhile
 STOP_MOST_MS: Final = 60_000  # streams under way get this long to finish
+
+# Bounds of what an operator may configure
+TRIES_SHARE_MOST: Final = 0.2  # the brief's fifth
+SPILL_SHARE_LEAST: Final = 0.1  # below it every home would spill at once
+HOT_SET_MOST: Final = 64  # openings; more is no longer a small set
+HOT_SHARE_LEAST: Final = 0.01  # of a service's prompts; rarer openings are not popular
+SLOTS_MOST: Final = 10_000  # of a runner; more is a mistake
+PREFILL_MOST_TOKENS_A_S: Final = 10_000_000  # of a runner; more is a mistake
+
+# The brief's limits, for the checkers; on purpose none of the code under test uses them
+BRIEF_LEAVING_MS: Final = 3_000  # a leaving runner gets no new work after this
+BRIEF_IN_EFFECT_MS: Final = 2_000  # an acknowledged change is in effect after this
+BRIEF_BACK_MS: Final = 250  # after this a node does not go back to an older change
+BRIEF_TRIES_WINDOW_MS: Final = 10_000  # any ten seconds
+BRIEF_TRIES_SHARE: Final = 0.2  # extra tries of the traffic in them
+BRIEF_TRIES_FLOOR: Final = 36  # and a few dozen
+
+# The rehearsal
+LOOK_MS: Final = 250  # how often the stand-in platform looks at a node's readiness
+CALLER_WAIT_S: Final = 60  # a stand-in caller's patience, far past any due
+REPLAY_WAIT_S: Final = 120  # a replayed request's patience
+STORM_MS: Final = 12_000  # a storm's length: some thirty faults
+STORM_OPERATORS: Final = 3  # enough for races on every base
+STAGE_HOST: Final = "127.0.0.1"  # a staged fleet lives on this machine only
+STAGE_PORT: Final = 17_100  # its ports begin here, far from what is commonly used
--- a/src/finchswitch/creed/check.py
+++ b/src/finchswitch/creed/check.py
@@ -12,6 +12,16 @@
 from returns.result import Failure, Result, Success
 from serde import SerdeError, from_dict
 
+from finchswitch.constants import (
+    DUE_LEAST_MS,
+    DUE_MOST_MS,
+    HOT_SET_MOST,
+    HOT_SHARE_LEAST,
+    PREFILL_MOST_TOKENS_A_S,
+    SLOTS_MOST,
+    SPILL_SHARE_LEAST,
+    TRIES_SHARE_MOST,
+)
 from finchswitch.creed.model import Binding, Creed, Plan, PlanStep, Runner, Service, Settings
 
 __all__ = ["check_creed", "read_creed"]
@@ -98,16 +108,16 @@
 def check_creed(creed: Creed) -> list[str]:
     """What is wrong between the entries, and numbers out of range."""
     wrong: list[str] = []
-    _range(wrong, "settings.triesShare", creed.settings.triesShare, 0, 0.2)
-    _range(wrong, "settings.spillShare", creed.settings.spillShare, 0.1, 1)
+    _range(wrong, "settings.triesShare", creed.settings.triesShare, 0, TRIES_SHARE_MOST)
+    _range(wrong, "settings.spillShare", creed.settings.spillShare, SPILL_SHARE_LEAST, 1)
     for name, service in creed.services.items():
-        _range(wrong, f"services.{name}.dueMs", service.dueMs, 50, 120_000)
-        _range(wrong, f"services.{name}.hotMost", service.hotMost, 0, 64)
-        _range(wrong, f"services.{name}.hotEnterShare", service.hotEnterShare, 0.01, 1)
+        _range(wrong, f"services.{name}.dueMs", service.dueMs, DUE_LEAST_MS, DUE_MOST_MS)
+        _range(wrong, f"services.{name}.hotMost", service.hotMost, 0, HOT_SET_MOST)
+        _range(wrong, f"services.{name}.hotEnterShare", service.hotEnterShare, HOT_SHARE_LEAST, 1)
         _range(wrong, f"services.{name}.hotLeaveShare", service.hotLeaveShare, 0, service.hotEnterShare)
     for name, runner in creed.runners.items():
-        _range(wrong, f"runners.{name}.slots", runner.slots, 1, 10_000)
-        _range(wrong, f"runners.{name}.prefillTokensPerS", runner.prefillTokensPerS, 1, 10_000_000)
+        _range(wrong, f"runners.{name}.slots", runner.slots, 1, SLOTS_MOST)
+        _range(wrong, f"runners.{name}.prefillTokensPerS", runner.prefillTokensPerS, 1, PREFILL_MOST_TOKENS_A_S)
     bound: dict[str, str] = {}
     for name, binding in creed.bindings.items():
         where = f"bindings.{name}"
--- a/src/finchswitch/creed/model.py
+++ b/src/finchswitch/creed/model.py
@@ -8,6 +8,7 @@
 from serde import field, serde, strict
 
 from finchswitch.constants import (
+    DUE_DEFAULT_MS,
     HOT_ENTER_SHARE,
     HOT_LEAVE_SHARE,
     HOT_MOST,
@@ -31,7 +32,7 @@
 class Service:
     """A model that callers name."""
 
-    dueMs: int = 10_000
+    dueMs: int = DUE_DEFAULT_MS
     hotMost: int = HOT_MOST
     hotEnterShare: float = HOT_ENTER_SHARE
     hotLeaveShare: float = HOT_LEAVE_SHARE
--- a/src/finchswitch/kinship/member.py
+++ b/src/finchswitch/kinship/member.py
@@ -212,4 +212,3 @@
                 await self._book.ask(address, "session.leave", {"name": self.card["name"]}, BEAT_MS)
             except Mishap as mishap:
                 _log.info("A leave went unheard. {}", mishap)
-
--- a/src/finchswitch/programs/fleet.py
+++ b/src/finchswitch/programs/fleet.py
@@ -9,18 +9,16 @@
 
 import httpx
 
+from finchswitch.constants import STAGE_HOST, STAGE_PORT
 from finchswitch.rehearsal.deployments import Deployment
 from finchswitch.rehearsal.history import History, ListEvent, RunSeen
 from finchswitch.wire import World
 
 __all__ = ["Fleet"]
 
-_HOST = "127.0.0.1"
-_PORTS = 17_100  # first port of a staged fleet; far from what is commonly used
-
 
 class Fleet:
-    def __init__(self, deployment: Deployment, folder: Path, ports: int = _PORTS) -> None:
+    def __init__(self, deployment: Deployment, folder: Path, ports: int = STAGE_PORT) -> None:
         self.deployment, self._folder, self._ports = deployment, folder, ports
         self._running: dict[str, subprocess.Popen[bytes]] = {}
         self._commands: dict[str, list[str]] = {}
@@ -32,7 +30,7 @@
 
     def _next(self) -> str:
         self._ports += 1
-        return f"{_HOST}:{self._ports}"
+        return f"{STAGE_HOST}:{self._ports}"
 
     def _plan(self) -> None:
         self._commands["platform"] = ["stand-in", "platform", self._platform]
--- a/src/finchswitch/programs/stage.py
+++ b/src/finchswitch/programs/stage.py
@@ -29,9 +29,7 @@
 __all__ = ["run_stage"]
 
 
-def run_stage(
-    name: str, seconds: int, seed: int, share: float, faults: str, keep: Path | None, as_json: bool
-) -> int:
+def run_stage(name: str, seconds: int, seed: int, share: float, faults: str, keep: Path | None, as_json: bool) -> int:
     if name != "both" and name not in DEPLOYMENTS:
         typer.echo(f"deployment: {name} is none of both, {', '.join(sorted(DEPLOYMENTS))}", err=True)
         return 2
@@ -60,9 +58,7 @@
     return 1 if breaches else 0
 
 
-async def _run(
-    deployment: Deployment, seconds: int, seed: int, share: float, faults: str, folder: Path
-) -> History:
+async def _run(deployment: Deployment, seconds: int, seed: int, share: float, faults: str, folder: Path) -> History:
     history = History()
     async with anyio.create_task_group() as group:
         world = RealWorld(seed)
--- a/src/finchswitch/rehearsal/callers.py
+++ b/src/finchswitch/rehearsal/callers.py
@@ -12,15 +12,13 @@
 import httpx
 from httpx_sse import EventSource
 
+from finchswitch.constants import CALLER_WAIT_S, LOOK_MS
 from finchswitch.rehearsal.deployments import Traffic
 from finchswitch.rehearsal.history import Call, History
 from finchswitch.wire import World
 
 __all__ = ["Desk", "call_once", "call_openly"]
 
-_LOOK_MS = 250
-_CALL_WAIT_MS = 60_000
-
 
 @dataclass
 class Desk:
@@ -36,11 +34,11 @@
                 async with anyio.create_task_group() as group:
                     for name in list(self.nodes):
                         group.start_soon(self._look_at, client, name)
-                await self.world.sleep(_LOOK_MS)
+                await self.world.sleep(LOOK_MS)
 
     async def _look_at(self, client: httpx.AsyncClient, name: str) -> None:
         try:
-            response = await client.get(f"http://{self.nodes[name][0]}/ready", timeout=_LOOK_MS / 1000)
+            response = await client.get(f"http://{self.nodes[name][0]}/ready", timeout=LOOK_MS / 1000)
             self.ready[name] = response.status_code == 200
         except httpx.HTTPError:
             self.ready[name] = False
@@ -88,7 +86,7 @@
     }
     url = f"http://{address}/v1/chat/completions"
     try:
-        async with client.stream("POST", url, json=body, headers=headers, timeout=_CALL_WAIT_MS / 1000) as response:
+        async with client.stream("POST", url, json=body, headers=headers, timeout=CALLER_WAIT_S) as response:
             call.status = response.status_code
             call.outcome = response.headers.get("x-outcome", "")
             call.retryAfter = "retry-after" in response.headers
--- a/src/finchswitch/rehearsal/checkers.py
+++ b/src/finchswitch/rehearsal/checkers.py
@@ -7,17 +7,18 @@
 from collections import Counter
 from collections.abc import Callable
 
+from finchswitch.constants import (
+    BRIEF_BACK_MS,
+    BRIEF_IN_EFFECT_MS,
+    BRIEF_LEAVING_MS,
+    BRIEF_TRIES_FLOOR,
+    BRIEF_TRIES_SHARE,
+    BRIEF_TRIES_WINDOW_MS,
+)
 from finchswitch.rehearsal.history import History
 
 __all__ = ["CHECKERS", "judge"]
 
-_LEAVING_MS = 3_000
-_IN_EFFECT_MS = 2_000
-_BACK_MS = 250
-_WINDOW_MS = 10_000
-_TRIES_SHARE = 0.2
-_TRIES_FLOOR = 36
-
 
 def runs_twice(history: History) -> list[str]:
     """What was not meant to be repeated runs once at the most."""
@@ -60,7 +61,7 @@
     return [
         f"{run.requestId} began on {run.incarnation} {run.atMs - leftMs[run.incarnation]:.0f} ms after it was leaving"
         for run in history.runs
-        if run.incarnation in leftMs and run.atMs > leftMs[run.incarnation] + _LEAVING_MS
+        if run.incarnation in leftMs and run.atMs > leftMs[run.incarnation] + BRIEF_LEAVING_MS
     ]
 
 
@@ -72,7 +73,7 @@
             continue
         for call in history.calls:
             atMs = beganMs.get((call.requestId, call.incarnation), call.askedMs)
-            if 0 <= call.generation < change.generation and atMs > change.answeredMs + _IN_EFFECT_MS:
+            if 0 <= call.generation < change.generation and atMs > change.answeredMs + BRIEF_IN_EFFECT_MS:
                 breaches.append(f"{call.node} used {call.generation} after {change.generation} was acknowledged")
     return breaches
 
@@ -84,7 +85,7 @@
         if call.generation < 0:
             continue
         earlier = seen.setdefault(call.node, [])
-        newest = max((generation for atMs, generation in earlier if atMs <= call.askedMs - _BACK_MS), default=-1)
+        newest = max((generation for atMs, generation in earlier if atMs <= call.askedMs - BRIEF_BACK_MS), default=-1)
         if call.generation < newest:
             breaches.append(f"{call.node} went back from {newest} to {call.generation}")
         earlier.append((call.firstMs, call.generation))
@@ -146,9 +147,9 @@
         seen.add(run.requestId)
     breaches = []
     for startMs in extra:
-        within = sum(1 for atMs in extra if startMs <= atMs < startMs + _WINDOW_MS)
-        traffic = sum(1 for call in history.calls if startMs <= call.askedMs < startMs + _WINDOW_MS)
-        if within > _TRIES_SHARE * traffic + _TRIES_FLOOR:
+        within = sum(1 for atMs in extra if startMs <= atMs < startMs + BRIEF_TRIES_WINDOW_MS)
+        traffic = sum(1 for call in history.calls if startMs <= call.askedMs < startMs + BRIEF_TRIES_WINDOW_MS)
+        if within > BRIEF_TRIES_SHARE * traffic + BRIEF_TRIES_FLOOR:
             breaches.append(f"{within} extra tries against {traffic} calls from {startMs:.0f} ms on")
     return breaches[:1]
 
--- a/src/finchswitch/rehearsal/replay.py
+++ b/src/finchswitch/rehearsal/replay.py
@@ -16,13 +16,13 @@
 from httpx_sse import EventSource
 from returns.result import Failure, Result, Success
 
+from finchswitch.constants import REPLAY_WAIT_S
 from finchswitch.wire import World
 
 __all__ = ["Recording", "read_recording", "replay"]
 
 _PATH = "/v1/chat/completions"
 _KEPT = ("x-repeatable", "x-due-ms")
-_WAIT_S = 120
 
 
 @dataclass(frozen=True)
@@ -93,7 +93,7 @@
     headers = {**request.headers, "content-type": "application/json"}
     try:
         url = f"http://{address}{_PATH}"
-        async with client.stream("POST", url, content=request.body, headers=headers, timeout=_WAIT_S) as response:
+        async with client.stream("POST", url, content=request.body, headers=headers, timeout=REPLAY_WAIT_S) as response:
             outcome = response.headers.get("x-outcome", "broken")
             if response.status_code == 200:
                 async for event in EventSource(response).aiter_sse():
--- a/src/finchswitch/rehearsal/rivals.py
+++ b/src/finchswitch/rehearsal/rivals.py
@@ -3,7 +3,7 @@
 Both keep the design's admission, so that what differs is the choice alone.
 """
 
-from finchswitch.affinity import Drawn, Draws, Opening, Seatable, Way
+from finchswitch.affinity import Choices, Drawn, Draws, Opening, Way
 
 __all__ = ["RIVALS", "LeastDraws", "RandomDraws"]
 
@@ -11,31 +11,16 @@
 class RandomDraws(Draws):
     """Any runner, by chance."""
 
-    def _first(
-        self,
-        opening: Opening,
-        hot: list[str],
-        runners: list[Seatable],
-        homes: list[str],
-        spillShare: float,
-        nowMs: float,
-    ) -> Drawn:
-        return self.estimate(opening, self._chance.choice(runners), Way.HOT, nowMs)
+    def _first(self, opening: Opening, choices: Choices, nowMs: float) -> Drawn:
+        return self.estimate(opening, self._chance.choice(choices.runners), Way.HOT, nowMs)
 
 
 class LeastDraws(Draws):
     """The runner with the smallest share of its slots in use."""
 
-    def _first(
-        self,
-        opening: Opening,
-        hot: list[str],
-        runners: list[Seatable],
-        homes: list[str],
-        spillShare: float,
-        nowMs: float,
-    ) -> Drawn:
-        return self.estimate(opening, min(runners, key=lambda each: self._share(each, nowMs)), Way.HOT, nowMs)
+    def _first(self, opening: Opening, choices: Choices, nowMs: float) -> Drawn:
+        least = min(choices.runners, key=lambda each: self._share(each, nowMs))
+        return self.estimate(opening, least, Way.HOT, nowMs)
 
 
 RIVALS: dict[str, type[Draws]] = {"design": Draws, "random": RandomDraws, "least": LeastDraws}
--- a/src/finchswitch/rehearsal/storms.py
+++ b/src/finchswitch/rehearsal/storms.py
@@ -9,20 +9,18 @@
 import anyio
 import httpx
 
+from finchswitch.constants import STORM_MS, STORM_OPERATORS
 from finchswitch.rehearsal.history import Read
 from finchswitch.rehearsal.scenes import Scene, expect, mark_edit
 from finchswitch.rehearsal.theatre import Theatre
 
 __all__ = ["STORMS"]
 
-_FOR_MS = 12_000
-_OPERATORS = 3
-
 
 async def _operate(theatre: Theatre, who: int) -> None:
     """An operator that builds on what it last heard, whatever that was."""
     base, at = 1, 0
-    while theatre.nowMs() < _FOR_MS:
+    while theatre.nowMs() < STORM_MS:
         at += 1
         mark = f"mark-{who}-{at}"
         change = await theatre.change(base, mark_edit(mark), mark)
@@ -37,7 +35,7 @@
 
 async def _read(theatre: Theatre) -> None:
     async with httpx.AsyncClient(transport=theatre.outside.http_transport(), timeout=2) as client:
-        while theatre.nowMs() < _FOR_MS:
+        while theatre.nowMs() < STORM_MS:
             host, sentMs = theatre.chance.choice(theatre.of_kind("accord")).host, theatre.nowMs()
             try:
                 answer = await client.get(f"http://{host}:8000/v1/configuration?current=true")
@@ -71,10 +69,10 @@
 async def _storm(theatre: Theatre, fault: Any) -> None:
     await theatre.insist({"configuration": theatre.deployment.creed()})
     async with anyio.create_task_group() as group:
-        for who in range(_OPERATORS):
+        for who in range(STORM_OPERATORS):
             group.start_soon(_operate, theatre, who)
         group.start_soon(_read, theatre)
-        while theatre.nowMs() < _FOR_MS:
+        while theatre.nowMs() < STORM_MS:
             await theatre.outside.sleep(theatre.chance.uniform(20, 1_500))
             await fault(theatre)
     await _close(theatre)
--- a/src/finchswitch/transit/node.py
+++ b/src/finchswitch/transit/node.py
@@ -9,7 +9,7 @@
 from anyio.abc import TaskGroup
 
 from finchswitch.accord.document import part_of
-from finchswitch.affinity import Beliefs, Burdens, Drawn, Draws, Opening, Popularity, Seatable, owners
+from finchswitch.affinity import Beliefs, Burdens, Choices, Drawn, Draws, Opening, Popularity, Seatable, owners
 from finchswitch.constants import CREED_PART, FORGET_MS, HOT_MOST
 from finchswitch.creed import Creed, read_creed
 from finchswitch.kinship.member import Member
@@ -132,8 +132,8 @@
         if not seatable:
             return Refusal(503, "no runner may be sent to now")
         dueMs = (prompt.dueMs or float(service.dueMs)) - (nowMs - beganMs)
-        spillShare = creed.settings.spillShare
-        drawn = self.draws.draw(opening, self.hot(prompt.service), seatable, able[1], spillShare, dueMs, nowMs)
+        choices = Choices(self.hot(prompt.service), seatable, able[1], creed.settings.spillShare)
+        drawn = self.draws.draw(opening, choices, dueMs, nowMs)
         if drawn is None:
             return Refusal(429, "no runner can give a timely first token")
         return drawn, dueMs
--- a/src/finchswitch/transit/roster.py
+++ b/src/finchswitch/transit/roster.py
@@ -86,6 +86,8 @@
         here = {each.incarnation for each in listed}
         for each in listed:
             known = self.known.get(each.incarnation)
+            if known is not None and known.address != each.address and known.walker.state is RunnerState.LEAVING:
+                self._leaving_told.add(each.incarnation)
             if known is None or known.address != each.address:
                 known = self.known[each.incarnation] = Known(each, self._world, self._permit)
                 _log.info("Runner {}/{} is listed at {}.", each.runner, each.incarnation, each.address)
--- a/src/finchswitch/wire/link.py
+++ b/src/finchswitch/wire/link.py
@@ -211,9 +211,7 @@
 
 
 @asynccontextmanager
-async def serve_asks(
-    world: World, address: str, group: TaskGroup
-) -> AsyncIterator[MemoryObjectReceiveStream[Asked]]:
+async def serve_asks(world: World, address: str, group: TaskGroup) -> AsyncIterator[MemoryObjectReceiveStream[Asked]]:
     """Listen at the address; yields the stream on which asks arrive."""
     send, receive = anyio.create_memory_object_stream[Asked](INBOX_MOST)
     listener = await world.listen(address)
--- a/tests/test_affinity.py
+++ b/tests/test_affinity.py
@@ -4,7 +4,18 @@
 
 import pytest
 
-from finchswitch.affinity import Beliefs, Burdens, Draws, Opening, Popularity, Seatable, Way, home_order, pick_hot
+from finchswitch.affinity import (
+    Beliefs,
+    Burdens,
+    Choices,
+    Draws,
+    Opening,
+    Popularity,
+    Seatable,
+    Way,
+    home_order,
+    pick_hot,
+)
 
 RUNNERS = [Seatable(f"r{at}", f"r{at}-i1", 10, 1_000) for at in range(1, 6)]
 NAMES = [each.runner for each in RUNNERS]
@@ -21,7 +32,7 @@
 
 
 def draw(draws, prompt, hot=(), runners=RUNNERS, dueMs=5_000):
-    return draws.draw(prompt, list(hot), list(runners), NAMES, 0.9, dueMs, 0.0)
+    return draws.draw(prompt, Choices(list(hot), list(runners), NAMES, 0.9), dueMs, 0.0)
 
 
 def test_an_opening_that_is_not_hot_goes_to_its_home(parts):
