--- a/src/finchswitch/rehearsal/scenes_plans.py
+++ b/src/finchswitch/rehearsal/scenes_plans.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from finchswitch.accord.document import part_of
 from finchswitch.rehearsal.scenes import accords, close_up, expect, open_up, pause, scene, transits
 from finchswitch.rehearsal.theatre import Theatre
 
@@ -26,6 +27,16 @@
     return "none", 0.0
 
 
+def _holder(theatre: Theatre) -> str:
+    """The node that holds the plan's duty, as the fence says; any other while there is none."""
+    for name in transits(theatre):
+        node = theatre.actors[name].node
+        record = node.news.body(part_of("plan/move")).get("fences", {}).get("plan/move") if node else None
+        if record:
+            return str(record["holder"].partition("/")[0])
+    return theatre.chance.choice(transits(theatre))
+
+
 async def _until(theatre: Theatre, phase: str, mostMs: float, share: float = 0.0) -> None:
     untilMs = theatre.nowMs() + mostMs
     while theatre.nowMs() < untilMs:
@@ -59,16 +70,16 @@
     await open_up(theatre)
     seen: list[float] = []
     async with anyio.create_task_group() as group:
-        group.start_soon(theatre.call, 24_000, 1.0)
+        group.start_soon(theatre.call, 30_000, 1.0)
         await theatre.insist(_plan())
         group.start_soon(_watch_shares, theatre, seen)
-        for _ in range(2):
-            await pause(theatre, 3_000)
-            name = theatre.chance.choice([*transits(theatre), *accords(theatre)])
-            theatre.kill(name)
+        for _ in range(4):
+            await pause(theatre, 2_500)
+            name = _holder(theatre) if theatre.chance.random() < 0.75 else theatre.chance.choice(accords(theatre))
+            theatre.kill(name, power=theatre.chance.random() < 0.3)
             await theatre.outside.sleep(1_500)
             theatre.start(name)
-        await _until(theatre, "done", 24_000)
+        await _until(theatre, "done", 30_000)
     expect(theatre, _standing(theatre)[0] == "done", f"the plan is done: {_standing(theatre)}")
     expect(theatre, seen == sorted(seen), f"shares only grow: {seen}")
     steps = {round(after - before, 3) for before, after in zip(seen, seen[1:], strict=False)}
