The three seeds may be processes of any kind

A node asks what it does not know who it is and which control nodes it has met, and tells what it is itself. Test: all seeds are routing nodes; the fleet founds, serves, survives a lost control node and a restarted routing node.

--- a/src/finchswitch/accord/asks.py
+++ b/src/finchswitch/accord/asks.py
@@ -44,6 +44,8 @@
         have, holdMs = field(asked.body, "have", dict, asked.peer), field(asked.body, "holdMs", int, asked.peer)
         return {"news": await council.news.wait_news(have, holdMs)}
     if asked.kind == "peer.who":
+        if asked.body.get("plane") == "control":
+            council.kindred.addresses.add(field(asked.body, "address", str, asked.peer))
         return _who(council)
     if asked.kind == "change":
         return await take_change(council, asked.body)
--- a/src/finchswitch/accord/council.py
+++ b/src/finchswitch/accord/council.py
@@ -142,6 +142,10 @@
     async def _beat_one(self, address: str) -> None:
         askedMs = self.world.nowMs()
         try:
+            if address in self.kindred.routing or address not in self.kindred.met:
+                await self._ask_who(address)
+            if address in self.kindred.routing:
+                return
             answer = await self.book.ask(address, "kin.beat", self.beat_body(), CONTROL_SILENT_MS)
             have = self.news.generations()
             with reading("beat", address):
@@ -152,3 +156,14 @@
                 self.news.take_in(field(followed, "news", dict, address), address)
         except Mishap as mishap:
             _log.debug("A beat went unanswered. {}", mishap)
+
+    async def _ask_who(self, address: str) -> None:
+        """Ask a process what it is before the first beat to it; a seed may be of any kind."""
+        body = {"plane": "control", "address": self.startup.address}
+        answer = await self.book.ask(address, "peer.who", body, ASK_WAIT_MS)
+        self.kindred.met.add(address)
+        routing = field(answer, "plane", str, address) == "routing"
+        (self.kindred.routing.add if routing else self.kindred.routing.discard)(address)
+        for each in field(answer, "controls", list, address):
+            if each != self.startup.address:
+                self.kindred.addresses.add(str(each))
--- a/src/finchswitch/kinship/kin.py
+++ b/src/finchswitch/kinship/kin.py
@@ -59,6 +59,8 @@
         self._own = own_address
         self.addresses = {each for each in seeds if each != own_address}
         self.by_store: dict[str, Kin] = {}
+        self.met: set[str] = set()  # addresses that said what they are
+        self.routing: set[str] = set()  # seeds that turned out to be routing nodes
 
     def heard(self, kin: Kin, nowMs: float, askedMs: float | None) -> None:
         """Take in a beat (no askedMs) or the answer to one."""
--- a/src/finchswitch/kinship/member.py
+++ b/src/finchswitch/kinship/member.py
@@ -65,6 +65,7 @@
         self.card = card  # name, address, http, district, incarnation
         self._walker = Walker(_CHART, card["name"])
         self._seeds = list(seeds)
+        self._routing: set[str] = set()  # seeds that turned out to be routing nodes
         self.controls = list(seeds)
         self.control = ""
         self.members: list[Message] = []
@@ -132,7 +133,10 @@
     async def keep_session(self) -> None:
         """The session with one control node after another."""
         while self.state is not NodeState.STOPPING:
-            self.control = self.control or self._world.chance.choice(self.controls)
+            if not self.control and not self._elsewhere():
+                await self._ask_seeds()
+                await self.tempo.pause(BEAT_MS)
+                continue
             body = {**self.card, "generations": self._news.generations()}
             askedMs = self._world.nowMs()
             try:
@@ -141,13 +145,39 @@
                     self._hear_control(answer, askedMs)
             except Mishap as mishap:
                 _log.info("No session with {}. {}", self.control, mishap)
+                await self._ask_who(self.control)
                 self._elsewhere()
             self.may_grant()
             await self.tempo.pause(BEAT_MS if self.control else BEAT_MS / 4)
 
-    def _elsewhere(self) -> None:
-        others = [each for each in self.controls if each != self.control]
+    def _elsewhere(self) -> bool:
+        """Take another control node than the present one, if one is known."""
+        others = [each for each in self.controls if each != self.control and each not in self._routing]
         self.control = self._world.chance.choice(others) if others else ""
+        return bool(others)
+
+    async def _ask_seeds(self) -> None:
+        for address in self._seeds:
+            if address != self.card["address"]:
+                await self._ask_who(address)
+
+    async def _ask_who(self, address: str) -> None:
+        """Ask a process what it is and which control nodes it knows; a seed may be of any kind."""
+        try:
+            answer = await self._book.ask(address, "peer.who", {"plane": "routing", "address": ""}, BEAT_MS)
+            routing = field(answer, "plane", str, address) == "routing"
+            (self._routing.add if routing else self._routing.discard)(address)
+            for each in field(answer, "controls", list, address):
+                self.meet_control(str(each))
+        except Mishap as mishap:
+            _log.debug("Nobody says who is at {}. {}", address, mishap)
+
+    def meet_control(self, address: str) -> None:
+        if address not in self.controls:
+            self.controls.append(address)
+
+    def known_controls(self) -> list[str]:
+        return [each for each in self.controls if each not in self._routing]
 
     def _hear_control(self, answer: Message, askedMs: float) -> None:
         controls, generations = field(answer, "controls", list), field(answer, "generations", dict)
--- a/src/finchswitch/rehearsal/deployments.py
+++ b/src/finchswitch/rehearsal/deployments.py
@@ -41,6 +41,7 @@
     slots: int
     traffic: list[Traffic]
     spare: list[str] = field(default_factory=list)  # runners of the hall that is moved to
+    seeds: str = "accord"  # which kind of process the seeds name
 
     def runner_names(self) -> list[str]:
         return [f"{self.name}-r{at}" for at in range(1, self.runners + 1)]
--- a/src/finchswitch/rehearsal/theatre.py
+++ b/src/finchswitch/rehearsal/theatre.py
@@ -65,7 +65,7 @@
             self._cast(name, "accord", "core", f"10.0.9.{len(self.actors) + 1}")
         for at, district in enumerate(deployment.districts, 1):
             self._cast(f"transit{at}", "transit", district, f"10.0.1.{at}")
-        self._seeds = [f"{self.actors[name].host}:7100" for name in cores]
+        self._seeds = [f"{actor.host}:7100" for actor in self.of_kind(deployment.seeds)[:3]]
         self.desk = Desk(self.outside, {a.name: (f"{a.host}:8000", a.district) for a in self.of_kind("transit")})
 
     def _world(self, host: str) -> SimWorld:
--- a/src/finchswitch/transit/asks.py
+++ b/src/finchswitch/transit/asks.py
@@ -33,5 +33,7 @@
         have, holdMs = field(asked.body, "have", dict, asked.peer), field(asked.body, "holdMs", int, asked.peer)
         return {"news": await node.news.wait_news(have, holdMs)}
     if asked.kind == "peer.who":
-        return {"plane": "routing", "controls": node.member.controls}
+        if asked.body.get("plane") == "control":
+            node.member.meet_control(field(asked.body, "address", str, asked.peer))
+        return {"plane": "routing", "controls": node.member.known_controls()}
     raise Mishap(MishapKind.BROKEN, "shape", asked.peer, f"unknown kind {asked.kind[:40]}")
--- a/tests/test_forgetting.py
+++ b/tests/test_forgetting.py
@@ -1,10 +1,13 @@
 """What is gone for long is forgotten, by time or by an operator's word, and garbage at a door harms nobody."""
 
 import json
+from dataclasses import replace
 
 import anyio
 import httpx
 
+from finchswitch.rehearsal.deployments import VILLAGE
+from finchswitch.rehearsal.play import play
 from finchswitch.rehearsal.scenes import mark_edit, open_up
 
 GOOD = json.dumps({"model": "rulings", "stream": True, "messages": [{"role": "user", "content": "hi"}]}).encode()
@@ -74,3 +77,18 @@
         assert all(call.outcome == "complete" for call in theatre.history.calls)
 
     staged(scene)
+
+
+def test_seeds_may_be_routing_nodes():
+    async def scene(theatre):
+        await open_up(theatre)
+        await theatre.call(1_000, 1.0)
+        theatre.kill("accord1", power=True)
+        assert (await theatre.insist(mark_edit("mark-a"))).status == 200
+        theatre.kill("transit4")
+        theatre.start("transit4")
+        assert await theatre.settle()
+
+    history = play(scene, replace(VILLAGE, seeds="transit"), 1)
+    assert history.calls and all(call.outcome == "complete" for call in history.calls)
+    assert all(holds for _, holds in history.notes["expected"])
