--- a/src/finchswitch/rehearsal/runner.py
+++ b/src/finchswitch/rehearsal/runner.py
@@ -55,6 +55,7 @@
     traits: Traits = field(default_factory=Traits)
     runs: list[Run] = field(default_factory=list)
     refusing: bool = False
+    refused: int = 0
     break_after: int | None = None  # pieces after which streams are cut
     lie: str = ""  # "identity" or "request": answer under a foreign name
 
@@ -151,6 +152,7 @@
         request = Request(scope, receive)
         body, requestId = await request.json(), request.headers.get("x-request-id", "")
         if self._runner.refusing:
+            self._runner.refused += 1
             names = {"x-runner": self._runner.runner, "x-incarnation": self._runner.incarnation}
             headers = {**names, "x-request-id": requestId, "x-outcome": "not-run"}
             refusal = JSONResponse({"error": "draining"}, 503, headers=headers)
--- a/src/finchswitch/rehearsal/scenes_load.py
+++ b/src/finchswitch/rehearsal/scenes_load.py
@@ -8,6 +8,7 @@
 import anyio
 import httpx
 
+from finchswitch.constants import BRIEF_TRIES_FLOOR, BRIEF_TRIES_SHARE
 from finchswitch.rehearsal.callers import call_once
 from finchswitch.rehearsal.deployments import Traffic
 from finchswitch.rehearsal.history import Call
@@ -102,6 +103,24 @@
     await close_up(theatre)
 
 
+@scene
+async def all_refuse(theatre: Theatre) -> None:
+    """Every runner refuses as not started while a crowd calls: extra tries stay within their budget."""
+    await open_up(theatre)
+    long = replace(theatre.deployment.traffic[1], openingTokens=100, ownTokens=10)
+    for runner in theatre.runners.values():
+        runner.refusing = True
+    calls = await _crowd(theatre, long, 400, 5_000, 0, "refused")
+    for runner in theatre.runners.values():
+        runner.refusing = False
+    expect(theatre, all(call.outcome == "not-run" for call in calls), "what no runner took was not run")
+    refusals = sum(runner.refused for runner in theatre.runners.values())
+    within = len(calls) * (1 + BRIEF_TRIES_SHARE) + BRIEF_TRIES_FLOOR
+    expect(theatre, refusals <= within, f"{refusals} requests reached runners for {len(calls)} calls")
+    await theatre.outside.sleep(3_000)
+    await close_up(theatre)
+
+
 @scene
 async def callers_leave(theatre: Theatre) -> None:
     """Callers go away at every moment of a call; their seats are free again and nothing runs on."""
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -10,6 +10,7 @@
 import finchswitch.transit.call
 import finchswitch.transit.proof
 import finchswitch.transit.roster
+import finchswitch.transit.tries
 from finchswitch.rehearsal.sweep import perform
 
 
@@ -81,6 +82,10 @@
     patch.setattr(finchswitch.rehearsal.theatre, "stop_node", at_once)
 
 
+def without_budget(patch):
+    patch.setattr(finchswitch.transit.tries.Tries, "take", lambda self, share, nowMs: True)
+
+
 CASES = [
     (without_majority, "mixed-storm", "changes-exclusive"),
     (without_taking_up, "mixed-storm", "refused-without-effect"),
@@ -90,6 +95,7 @@
     (with_blind_repeats, "runner-faults", "runs-twice"),
     (without_leaving, "replaced", "leaving-left-alone"),
     (without_lease, "nodes-cut", "acknowledged-in-effect"),
+    (without_budget, "all-refuse", "requests reached runners"),
     (without_soft_stop, "rolling-stop", "planned-cuts-nothing"),
 ]
 
