--- a/src/finchswitch/wire/client.py
+++ b/src/finchswitch/wire/client.py
@@ -94,7 +94,7 @@
             raise httpcore.ConnectTimeout(f"connect to {address}") from None
         except Mishap as mishap:
             raise httpcore.ConnectError(str(mishap)) from None
-        except (OSError, anyio.BrokenResourceError, anyio.EndOfStream) as broken:
+        except (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError, anyio.EndOfStream) as broken:
             raise httpcore.ConnectError(f"connect to {address}: {broken}") from None
         return _Stream(stream)
 
