--- a/src/finchswitch/programs/cli.py
+++ b/src/finchswitch/programs/cli.py
@@ -91,7 +91,7 @@
     seconds: Annotated[int, typer.Option(help="How long callers call.")] = 30,
     seed: Annotated[int, typer.Option(help="The seed of callers and faults.")] = 1,
     share: Annotated[float, typer.Option(help="Share of the deployment's request rate.")] = 1.0,
-    faults: Annotated[str, typer.Option(help="planned, freeze, loss or none.")] = "planned",
+    faults: Annotated[str, typer.Option(help="planned, crash, freeze, loss or none.")] = "planned",
     keep: Annotated[Path | None, typer.Option(help="Folder for logs and data; a temporary one otherwise.")] = None,
     as_json: Annotated[bool, typer.Option("--json", help="The report as JSON.")] = False,
 ) -> None:
--- a/src/finchswitch/programs/faults.py
+++ b/src/finchswitch/programs/faults.py
@@ -64,6 +64,20 @@
         await hands.pause(0.07)
 
 
+async def crash(hands: Hands) -> None:
+    """Control and routing nodes are killed outright one after another, each with a change while it is gone."""
+    fleet = hands.fleet
+    for at, name in enumerate(["accord2", "transit1", "accord3", "transit2", "accord1"]):
+        hands.history.failed.add(name)
+        fleet.signal(name, signal.SIGKILL)
+        await hands.pause(0.03)
+        edit = {"kind": "settings", "name": "spillShare", "value": 0.8 + at / 100}
+        await hands.change({"edits": [edit]}, f"crashed-{at}")
+        await hands.pause(0.04)
+        fleet.start(name)
+        await hands.pause(0.1)
+
+
 async def loss(hands: Hands) -> None:
     """Every process of the fleet is killed at once, after a change was acknowledged, and started again."""
     fleet, world = hands.fleet, hands.world
@@ -95,6 +109,7 @@
 
 FAULTS: dict[str, Callable[[Hands], Awaitable[None]]] = {
     "planned": planned,
+    "crash": crash,
     "freeze": freeze,
     "loss": loss,
     "none": none,
--- a/src/finchswitch/programs/stage.py
+++ b/src/finchswitch/programs/stage.py
@@ -1,8 +1,8 @@
 """stage: a whole fleet on this machine, each node a process, with stand-ins, callers, and a report.
 
 The faults are chosen by name: ``planned`` puts a move plan under way, kills one control node and stops and starts
-every routing node in turn; ``freeze`` stops processes past every lease; ``loss`` kills all at once. The report says
-what callers got and which points of what must never happen were broken.
+every routing node in turn; ``crash`` kills nodes one by one, ``freeze`` stops processes past every lease, ``loss``
+kills all at once. The report says what callers got and which points of what must never happen were broken.
 """
 
 import json
