--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -1,5 +1,6 @@
 """Scenes have teeth: with one guard taken out of the code, some seed breaks the very point that it guards."""
 
+import httpx
 import pytest
 
 import finchswitch.accord.acceptor
@@ -7,6 +8,7 @@
 import finchswitch.kinship.member
 import finchswitch.kinship.sessions
 import finchswitch.rehearsal.theatre
+import finchswitch.transit.attempt
 import finchswitch.transit.call
 import finchswitch.transit.proof
 import finchswitch.transit.roster
@@ -86,7 +88,32 @@
     patch.setattr(finchswitch.transit.tries.Tries, "take", lambda self, share, nowMs: True)
 
 
+def with_false_not_run(patch):
+    begin = finchswitch.transit.attempt.TryMishap.__init__
+
+    def hopeful(self, fate, step, peer, reason):
+        begin(self, finchswitch.transit.attempt.Fate.NOT_RUN, step, peer, reason)
+
+    patch.setattr(finchswitch.transit.attempt.TryMishap, "__init__", hopeful)
+
+
+def without_waiting_for_the_end(patch):
+    events = finchswitch.transit.attempt._events
+
+    async def trusting(response, known):
+        try:
+            async for content in events(response, known):
+                yield content
+        except (finchswitch.transit.attempt.TryMishap, httpx.HTTPError):
+            return
+
+    patch.setattr(finchswitch.transit.attempt, "_events", trusting)
+    patch.setattr(finchswitch.transit.attempt, "_finishes", lambda content: True)
+
+
 CASES = [
+    (with_false_not_run, "runner-faults", "runs-twice"),
+    (without_waiting_for_the_end, "runner-faults", "pieces-whole"),
     (without_majority, "mixed-storm", "changes-exclusive"),
     (without_taking_up, "mixed-storm", "refused-without-effect"),
     (without_promise, "mixed-storm", "changes-exclusive"),
