--- a/src/finchswitch/accord/asks.py
+++ b/src/finchswitch/accord/asks.py
@@ -41,8 +41,7 @@
         council.hear_kin(asked.body, asked.peer, None)
         return council.beat_body()
     if asked.kind == "news.follow":
-        have, holdMs = field(asked.body, "have", dict, asked.peer), field(asked.body, "holdMs", int, asked.peer)
-        return {"news": await council.news.wait_news(have, holdMs)}
+        return await council.news.answer_follower(asked.body, asked.peer)
     if asked.kind == "peer.who":
         if asked.body.get("plane") == "control":
             council.kindred.addresses.add(field(asked.body, "address", str, asked.peer))
--- a/src/finchswitch/kinship/member.py
+++ b/src/finchswitch/kinship/member.py
@@ -194,9 +194,10 @@
         """Tell every peer known this node's word, and hear theirs."""
         while True:
             self._forget_silent()
+            word = self.word(own_word)
             for address in sorted({each["address"] for each in [*self.members, *self.peers.values()]}):
                 if address != self.card["address"]:
-                    own_word.group.start_soon(self._beat_one, address, own_word)
+                    own_word.group.start_soon(self._beat_one, address, word, own_word)
             await self._world.sleep(PEER_BEAT_MS)
 
     def _forget_silent(self) -> None:
@@ -207,10 +208,10 @@
                 if nowMs - self.heardMs.setdefault(name, nowMs) > FORGET_MS:
                     del self.peers[name], self.heardMs[name]
 
-    async def _beat_one(self, address: str, own_word: Word) -> None:
+    async def _beat_one(self, address: str, word: Message, own_word: Word) -> None:
         askedMs = self._world.nowMs()
         try:
-            answer = await self._book.ask(address, "peer.beat", self.word(own_word), PEER_SILENT_MS)
+            answer = await self._book.ask(address, "peer.beat", word, PEER_SILENT_MS)
             self.hear_peer(answer, askedMs)
             own_word.hear(answer)
         except Mishap as mishap:
--- a/src/finchswitch/rehearsal/scenes.py
+++ b/src/finchswitch/rehearsal/scenes.py
@@ -22,6 +22,7 @@
     "mark_edit",
     "open_up",
     "pause",
+    "read_back",
     "scene",
     "transits",
 ]
@@ -72,12 +73,17 @@
     last = [call for call in theatre.history.calls if "-last-" in call.requestId]
     good = sum(call.outcome == "complete" for call in last)
     expect(theatre, good >= 0.7 * len(last), f"service at the end: {good} of {len(last)}")
+    read_back(theatre, final.generation)
+
+
+def read_back(theatre: Theatre, newest: int) -> None:
+    """Note what each node that runs believes: the marks of changes it holds, and whether it holds the newest."""
     for actor in theatre.actors.values():
         plane = actor.node or actor.council
         if plane is not None and actor.group is not None:
             body = plane.news.body("creed")
             generation = plane.news.generation("creed")
-            expect(theatre, generation == final.generation, f"{actor.name} holds the newest generation")
+            expect(theatre, generation == newest, f"{actor.name} holds the newest generation")
             for name in body.get("services", {}):
                 if name.startswith("mark-"):
                     theatre.history.marks.append((actor.name, generation, name))
--- a/src/finchswitch/rehearsal/storms.py
+++ b/src/finchswitch/rehearsal/storms.py
@@ -11,7 +11,7 @@
 
 from finchswitch.constants import STORM_MS, STORM_OPERATORS
 from finchswitch.rehearsal.history import Read
-from finchswitch.rehearsal.scenes import Scene, expect, mark_edit
+from finchswitch.rehearsal.scenes import Scene, expect, mark_edit, read_back
 from finchswitch.rehearsal.theatre import Theatre
 
 __all__ = ["STORMS"]
@@ -57,13 +57,7 @@
     final = await theatre.insist(mark_edit("mark-final"), "mark-final")
     expect(theatre, final.status == 200, "a change is taken at the end")
     await theatre.outside.sleep(1_000)
-    for actor in theatre.of_kind("accord"):
-        assert actor.council is not None
-        body, generation = actor.council.news.body("creed"), actor.council.news.generation("creed")
-        expect(theatre, generation == final.generation, f"{actor.name} holds the newest generation")
-        for name in body.get("services", {}):
-            if name.startswith("mark-"):
-                theatre.history.marks.append((actor.name, generation, name))
+    read_back(theatre, final.generation)
 
 
 async def _storm(theatre: Theatre, fault: Any) -> None:
--- a/src/finchswitch/relay/news.py
+++ b/src/finchswitch/relay/news.py
@@ -54,6 +54,11 @@
             news = self.since(have)
         return news
 
+    async def answer_follower(self, body: Message, peer: str) -> Message:
+        """Answer a ``news.follow`` ask, the same on either plane."""
+        have, holdMs = field(body, "have", dict, peer), field(body, "holdMs", int, peer)
+        return {"news": await self.wait_news(have, holdMs)}
+
     def since(self, have: dict[str, int]) -> Message:
         return {
             part: self._since(part, have.get(part, -1))
--- a/src/finchswitch/transit/asks.py
+++ b/src/finchswitch/transit/asks.py
@@ -30,8 +30,7 @@
         node.roster.hear_leaving(asked.body["leaving"])
         return node.member.word(node)
     if asked.kind == "news.follow":
-        have, holdMs = field(asked.body, "have", dict, asked.peer), field(asked.body, "holdMs", int, asked.peer)
-        return {"news": await node.news.wait_news(have, holdMs)}
+        return await node.news.answer_follower(asked.body, asked.peer)
     if asked.kind == "peer.who":
         if asked.body.get("plane") == "control":
             node.member.meet_control(field(asked.body, "address", str, asked.peer))
