The last check asks binding and plan, and the answer names its generation; ids remembered

Cause: x-generation was read at the first piece, so a call sent under 1 showed 2; the permit before the bytes leave asked only the roster. A repeated id under way was told not-run and ran again after its end. Ruled out: fleet-wide memory of ids, an agreement before every call. Conclusion: a ticket goes with each request and is marked by the check.

--- a/src/finchswitch/constants.py
+++ b/src/finchswitch/constants.py
@@ -98,6 +98,8 @@
 TRIES_FLOOR: Final = 3  # a node: a few dozen over the fleet
 BODY_MOST_BYTES: Final = 1024 * 1024  # thirteen thousand tokens are about 60 kB
 REQUEST_ID_MOST: Final = 128  # characters of a caller's request id
+SENT_KEEP_MS: Final = 600_000  # how long a request id sent to a runner is remembered; callers' retries come far sooner
+SENT_MOST: Final = 100_000  # of them a node; ten minutes at ten times a node's share of today's traffic
 
 # Stopping
 STOP_SETTLE_MS: Final = 500  # after unready and before the door closes: the platform looks again meanwhile
--- a/src/finchswitch/rehearsal/runner.py
+++ b/src/finchswitch/rehearsal/runner.py
@@ -57,6 +57,7 @@
     refusing: bool = False
     refused: int = 0
     break_after: int | None = None  # pieces after which streams are cut
+    proofMs: float = 0.0  # how long it takes to say who it is
     lie: str = ""  # "identity" or "request": answer under a foreign name
 
     def __post_init__(self) -> None:
@@ -76,6 +77,7 @@
         )
 
     async def _identity(self, request: Request) -> Response:
+        await self.world.sleep(self.proofMs)
         return JSONResponse({"runner": self.runner, "incarnation": self.incarnation})
 
     async def _metrics(self, request: Request) -> Response:
--- a/src/finchswitch/transit/attempt.py
+++ b/src/finchswitch/transit/attempt.py
@@ -18,6 +18,7 @@
 from finchswitch.logs import prefix
 from finchswitch.mishap import Mishap, MishapKind
 from finchswitch.transit.prompt import Prompt
+from finchswitch.transit.proof import TICKET, Ticket
 from finchswitch.transit.roster import Known
 
 __all__ = ["Fate", "Piece", "TryMishap", "pieces_of"]
@@ -50,8 +51,9 @@
     last: bool
 
 
-async def pieces_of(known: Known, prompt: Prompt, firstWaitMs: float) -> AsyncGenerator[Piece, None]:
+async def pieces_of(known: Known, prompt: Prompt, ticket: Ticket, firstWaitMs: float) -> AsyncGenerator[Piece, None]:
     """Send the prompt and yield the answer's pieces; raises a TryMishap unless the answer came whole."""
+    TICKET.set(ticket)
     headers = {"content-type": "application/json", "accept": "text/event-stream", "x-request-id": prompt.requestId}
     url = f"http://{known.address}/v1/chat/completions"
     step, request = "send", known.client.build_request("POST", url, content=prompt.body, headers=headers)
@@ -82,9 +84,10 @@
             with anyio.CancelScope(shield=True):
                 await response.aclose()
     except (httpx.ConnectError, httpx.ConnectTimeout) as error:
-        raise TryMishap(Fate.NOT_RUN, "connect", known.runner, str(error)) from None
+        raise TryMishap(Fate.NOT_RUN, "permit" if ticket.refused else "connect", known.runner, str(error)) from None
     except (httpx.HTTPError, SSEError, TimeoutError) as error:
-        raise TryMishap(Fate.UNKNOWN, step, known.runner, f"{type(error).__name__} {error}") from None
+        fate, step = (Fate.UNKNOWN, step) if ticket.generation >= 0 else (Fate.NOT_RUN, "connect")
+        raise TryMishap(fate, step, known.runner, f"{type(error).__name__} {error}") from None
 
 
 def _check_head(response: httpx.Response, known: Known, prompt: Prompt) -> str:
--- a/src/finchswitch/transit/call.py
+++ b/src/finchswitch/transit/call.py
@@ -17,6 +17,7 @@
 from finchswitch.logs import prefix
 from finchswitch.transit.attempt import Fate, Piece, TryMishap, pieces_of
 from finchswitch.transit.prompt import Prompt, Refusal, read_prompt
+from finchswitch.transit.proof import Ticket
 
 if TYPE_CHECKING:
     from finchswitch.transit.node import Node
@@ -34,8 +35,9 @@
     if isinstance(read, Failure):
         return await _end(node, send, "", read.failure().status, Fate.NOT_RUN, read.failure().reason)
     prompt = read.unwrap()
-    if prompt.requestId in node.underway:
-        return await _end(node, send, prompt.requestId, 409, Fate.NOT_RUN, "this request id is under way here")
+    if prompt.requestId in node.underway or node.sent.bars(prompt.requestId, prompt.repeatable, node.world.nowMs()):
+        reason = "this request id is under way here, or was lately sent to a runner"
+        return await _end(node, send, prompt.requestId, 409, Fate.UNKNOWN, reason)
     node.underway.add(prompt.requestId)
     try:
         async with anyio.create_task_group() as group:
@@ -70,6 +72,8 @@
             _log.info("A try failed, {}. {}", mishap.fate.value, mishap)
             tried.add(drawn.runner.runner)
             fate = Fate.UNKNOWN if mishap.fate is Fate.UNKNOWN else fate
+            if fate is Fate.NOT_RUN:
+                node.sent.take_back(prompt.requestId)
             reason = str(mishap)
             if mishap.step == "connect":
                 node.roster.down(node.roster.known[drawn.runner.incarnation], mishap.reason)
@@ -82,13 +86,14 @@
 async def _pass_on(node: "Node", prompt: Prompt, drawn: Drawn, dueMs: float, send: Send) -> None:
     """One try; raises a TryMishap only while nothing was passed on."""
     known, seat = node.roster.known[drawn.runner.incarnation], node.take_seat(drawn)
-    number = 0
+    number, opening = 0, prompt.opening
+    ticket = Ticket(prompt.requestId, prompt.repeatable, prompt.service, opening.digest, drawn.runner.runner)
     try:
-        async with aclosing(pieces_of(known, prompt, dueMs * FIRST_WAIT_SHARE)) as pieces:
+        async with aclosing(pieces_of(known, prompt, ticket, dueMs * FIRST_WAIT_SHARE)) as pieces:
             async for piece in pieces:
                 if number == 0:
                     seat.begun(piece.weights)
-                    await _start(node, send, prompt, drawn, piece)
+                    await _start(send, prompt, drawn, piece, ticket)
                 number += 1
                 content = piece.content
                 if piece.last:
@@ -108,7 +113,7 @@
     await _event(send, "data: [DONE]\n\n", more=False)
 
 
-async def _start(node: "Node", send: Send, prompt: Prompt, drawn: Drawn, piece: Piece) -> None:
+async def _start(send: Send, prompt: Prompt, drawn: Drawn, piece: Piece, ticket: Ticket) -> None:
     headers = {
         "content-type": "text/event-stream",
         "cache-control": "no-store",
@@ -117,7 +122,7 @@
         "x-incarnation": drawn.runner.incarnation,
         "x-weights": piece.weights,
         "x-way": drawn.way.value,
-        "x-generation": str(node.generation()),
+        "x-generation": str(ticket.generation),
     }
     await send({"type": "http.response.start", "status": 200, "headers": _raw(headers)})
 
--- a/src/finchswitch/transit/node.py
+++ b/src/finchswitch/transit/node.py
@@ -18,8 +18,10 @@
 from finchswitch.transit.duties import Duties
 from finchswitch.transit.plans import PlanPhase, runners_under
 from finchswitch.transit.prompt import Prompt, Refusal
+from finchswitch.transit.proof import Ticket
 from finchswitch.transit.roster import Roster
 from finchswitch.transit.seat import Seat
+from finchswitch.transit.sent import Sent
 from finchswitch.transit.tries import Tries
 from finchswitch.wire import Book, Message, World
 
@@ -44,6 +46,7 @@
         self.draws = Draws(self.beliefs, self.burdens, world.chance)
         self.tries, self.duties = Tries(), Duties(self)
         self.underway: set[str] = set()
+        self.sent = Sent()
         self.vitals = dict.fromkeys(("asked", "complete", "broken", "not-run", "unknown", "granted"), 0)
         self.ways: dict[str, int] = {}
         self.stopping = False
@@ -68,9 +71,18 @@
     def may_grant(self) -> bool:
         return self.member.may_grant()
 
-    def permits(self, incarnation: str) -> bool:
-        """Asked last before a request is put on a connection."""
-        return self.member.may_send() and self.roster.sendable(incarnation)
+    def permits(self, incarnation: str, ticket: Ticket | None) -> bool:
+        """Asked last before anything is put on a connection; a request is judged by what is held now, and noted."""
+        if not (self.member.may_send() and self.roster.sendable(incarnation)):
+            return False
+        if ticket is None:
+            return True
+        able = self.runners_of(ticket.service, ticket.digest)
+        ticket.refused = able is None or ticket.runner not in able[0]
+        if not ticket.refused:
+            ticket.generation = self.generation()
+            self.sent.note(ticket.requestId, ticket.repeatable, self.world.nowMs())
+        return not ticket.refused
 
     def popularity(self, service: str) -> Popularity:
         return self._popularity.setdefault(service, Popularity())
--- a/src/finchswitch/transit/proof.py
+++ b/src/finchswitch/transit/proof.py
@@ -2,10 +2,14 @@
 
 ``GET /identity`` must answer with the runner's id and incarnation as the platform lists them. An old address
 with another process behind it fails here, and no request reaches it. Last before the request, the node's permit is
-asked again: a node that slept since the seat was granted must not use it.
+asked again: a node that slept since the seat was granted must not use it, nor one that holds a newer configuration
+or plan by now under which this service may not use this runner. A request carries a ticket for it, on which the check
+leaves the generation that it was made against.
 """
 
 import json
+from contextvars import ContextVar
+from dataclasses import dataclass
 from typing import Protocol
 
 import anyio
@@ -15,12 +19,29 @@
 from finchswitch.constants import PROOF_WAIT_MS
 from finchswitch.mishap import Mishap, MishapKind
 
-__all__ = ["Permit", "RunnerProof"]
+__all__ = ["TICKET", "Permit", "RunnerProof", "Ticket"]
+
+
+@dataclass
+class Ticket:
+    """What is about to be sent, and what the last check said of it."""
+
+    requestId: str
+    repeatable: bool
+    service: str
+    digest: str
+    runner: str
+    generation: int = -1  # checked against this one; under 0 no byte of the request has left
+    refused: bool = False
+
+
+# The ticket of the request for which this task connects. A connection is made in the task of its one request.
+TICKET: ContextVar[Ticket | None] = ContextVar("ticket", default=None)
 
 
 class Permit(Protocol):
-    def permits(self, incarnation: str) -> bool:
-        """Whether a request may be put on a connection to this incarnation now."""
+    def permits(self, incarnation: str, ticket: Ticket | None) -> bool:
+        """Whether a request may be put on a connection to this incarnation now; marks the ticket."""
 
 
 class RunnerProof:
@@ -33,7 +54,7 @@
         if answer.get("runner") != self._runner or answer.get("incarnation") != self._incarnation:
             shown = f"{answer.get('runner')}/{answer.get('incarnation')}"
             raise Mishap(MishapKind.REFUSED, "proof", address, f"{shown} is not {self._runner}/{self._incarnation}")
-        if not self._permit.permits(self._incarnation):
+        if not self._permit.permits(self._incarnation, TICKET.get()):
             raise Mishap(MishapKind.REFUSED, "permit", address, "may not be sent to any more")
 
     async def _ask(self, stream: ByteStream, address: str) -> dict[str, object]:
--- a/tests/test_doors.py
+++ b/tests/test_doors.py
@@ -42,7 +42,7 @@
     assert history.runs == []
 
 
-def test_a_request_id_under_way_is_refused(staged):
+def test_a_request_id_under_way_or_lately_sent_is_refused_and_not_called_not_run(staged):
     async def scene(theatre):
         await open_up(theatre)
         headers, body = {"x-request-id": "same"}, {**GOOD, "max_tokens": 50}
@@ -51,13 +51,34 @@
             async with client.stream("POST", url, json=body, headers=headers) as first:
                 assert first.status_code == 200
                 second = await client.post(url, json=body, headers=headers)
-                assert second.status_code == 409 and second.headers["x-outcome"] == "not-run"
+                assert second.status_code == 409 and second.headers["x-outcome"] == "unknown"
                 text = (await first.aread()).decode()
+            third = await client.post(url, json=body, headers={**headers, "x-repeatable": "yes"})
+            assert third.status_code == 409 and third.headers["x-outcome"] == "unknown"
         assert text.count("\nid: ") == 49 and text.endswith("data: [DONE]\n\n")
 
     assert len(staged(scene).runs) == 1
 
 
+def test_an_id_comes_again_if_both_sendings_are_repeatable_or_the_runner_refused(staged):
+    async def scene(theatre):
+        await open_up(theatre)
+        url = "http://10.0.1.1:8000/v1/chat/completions"
+        async with httpx.AsyncClient(transport=theatre.outside.http_transport()) as client:
+            for _ in range(2):
+                answer = await client.post(url, json=GOOD, headers={"x-request-id": "r", "x-repeatable": "yes"})
+                assert answer.status_code == 200
+            for runner in theatre.runners.values():
+                runner.refusing = True
+            assert (await client.post(url, json=GOOD, headers={"x-request-id": "n"})).headers["x-outcome"] == "not-run"
+            for runner in theatre.runners.values():
+                runner.refusing = False
+            await theatre.outside.sleep(3_000)
+            assert (await client.post(url, json=GOOD, headers={"x-request-id": "n"})).status_code == 200
+
+    assert sorted(run.requestId for run in staged(scene).runs) == ["n", "r", "r"]
+
+
 def test_a_caller_that_leaves_frees_its_seat_and_the_runner(staged):
     async def scene(theatre):
         await open_up(theatre)
--- a/tests/test_real.py
+++ b/tests/test_real.py
@@ -15,7 +15,7 @@
 
 
 class Anyone:
-    def permits(self, incarnation):
+    def permits(self, incarnation, ticket):
         return True
 
 
