Checkers see services, spans of faults, ready nodes at rest, refusals and dials

Cause: only-allowed knew incarnations only, never-back and in-effect saw nodes through calls, one fault excused a name for the whole history, tries-within counted runs alone. Ruled out: sampling from inside the nodes. Conclusion: the eyes were weak, what they now see is sound so far.

--- a/src/finchswitch/constants.py
+++ b/src/finchswitch/constants.py
@@ -31,6 +31,7 @@
 PREPARE_WAIT_MS: Final = 500  # a ballot waits this long for its majority
 ACCEPT_WAIT_MS: Final = 900  # a commit waits this long, then its fate is unknown
 STAND_PAUSE_MS: Final = 100  # pause before standing again, spread by up to as much, so rivals miss each other
+STAND_TURN_MS: Final = 700  # how long the later wait for those before them to stand; over a ballot's own wait
 REPLACE_AFTER_MS: Final = 4_000  # a group member silent this long may give its place to an empty store
 RECENT_MOST: Final = 256  # change ids remembered in a document, so a repeat never commits twice
 DELIVERY_LOOK_MS: Final = 20  # between two looks at who has confirmed; short against the 2 s of a change
@@ -122,6 +123,7 @@
 BRIEF_TRIES_FLOOR: Final = 36  # and a few dozen
 
 # The rehearsal
+CLOCK_SLACK_MS: Final = 1.0  # clocks of rehearsed machines start far apart; their sums round by less than this
 LOOK_MS: Final = 250  # how often the stand-in platform looks at a node's readiness
 CALLER_WAIT_S: Final = 60  # a stand-in caller's patience, far past any due
 REPLAY_WAIT_S: Final = 120  # a replayed request's patience
--- a/src/finchswitch/programs/faults.py
+++ b/src/finchswitch/programs/faults.py
@@ -6,7 +6,7 @@
 
 from finchswitch.programs.fleet import Fleet
 from finchswitch.rehearsal.callers import Desk
-from finchswitch.rehearsal.history import Change, History
+from finchswitch.rehearsal.history import Change, Fault, History
 from finchswitch.wire import World
 
 __all__ = ["FAULTS", "Hands"]
@@ -25,6 +25,11 @@
         self.base = max(self.base, change.generation)
         return change
 
+    def kill(self, name: str) -> None:
+        nowMs = self.world.nowMs()
+        self.history.faults.append(Fault(self.fleet.incarnations.get(name, name), nowMs, nowMs))
+        self.fleet.signal(name, signal.SIGKILL)
+
     async def pause(self, share: float) -> None:
         await self.world.sleep(1000 * self.seconds * share)
 
@@ -37,7 +42,7 @@
     plan = {"leaving": [leaving], "arriving": deployment.spare, "bindings": bindings}
     await hands.change({"edits": [{"kind": "plans", "name": "move", "value": plan}]}, "move")
     await hands.pause(0.1)
-    fleet.signal("accord1", signal.SIGKILL)
+    hands.kill("accord1")
     await hands.pause(0.05)
     await hands.change({"edits": [{"kind": "settings", "name": "spillShare", "value": 0.85}]}, "while-one-is-gone")
     fleet.start("accord1")
@@ -54,13 +59,14 @@
     fleet, chance = hands.fleet, hands.world.chance
     names = ["accord1", *sorted(hands.desk.nodes)[:2], "accord2", f"{fleet.deployment.runner_names()[0]}"]
     for at, name in enumerate(names):
-        hands.history.failed.add(fleet.incarnations.get(name, name))
+        hands.history.failing(fleet.incarnations.get(name, name), hands.world.nowMs())
         fleet.signal(name, signal.SIGSTOP)
         await hands.pause(0.05)
         value = chance.choice([0.8, 0.9])
         await hands.change({"edits": [{"kind": "settings", "name": "spillShare", "value": value}]}, f"frozen-{at}")
         await hands.pause(0.05)
         fleet.signal(name, signal.SIGCONT)
+        hands.history.mended(fleet.incarnations.get(name, name), hands.world.nowMs())
         await hands.pause(0.07)
 
 
@@ -68,8 +74,7 @@
     """Control and routing nodes are killed outright one after another, each with a change while it is gone."""
     fleet = hands.fleet
     for at, name in enumerate(["accord2", "transit1", "accord3", "transit2", "accord1"]):
-        hands.history.failed.add(name)
-        fleet.signal(name, signal.SIGKILL)
+        hands.kill(name)
         await hands.pause(0.03)
         edit = {"kind": "settings", "name": "spillShare", "value": 0.8 + at / 100}
         await hands.change({"edits": [edit]}, f"crashed-{at}")
@@ -85,8 +90,7 @@
     before = await hands.change({"edits": [{"kind": "settings", "name": "spillShare", "value": 0.8}]}, "before")
     own = [name for name in fleet.running() if name.startswith(("accord", "transit"))]
     for name in own:
-        hands.history.failed.add(name)
-        fleet.signal(name, signal.SIGKILL)
+        hands.kill(name)
     lostMs = world.nowMs()
     await world.sleep(2_000)
     for name in own:
--- a/src/finchswitch/programs/stage.py
+++ b/src/finchswitch/programs/stage.py
@@ -82,7 +82,7 @@
         founded = await _until(world, fleet.founded, client, 20_000)
         history.notes["foundedMs"] = founded
         await _change(world, client, fleet, history, 0, {"configuration": fleet.deployment.creed()}, "first")
-        desk = Desk(world, fleet.doors())
+        desk = Desk(world, fleet.doors(), sights=history.sights)
         group.start_soon(desk.look)
         history.notes["readyMs"] = await _until(world, lambda _: _all_ready(desk), client, 20_000)
         limits = httpx.Limits(max_connections=None, max_keepalive_connections=50)
@@ -130,7 +130,7 @@
     content: dict[str, Any],
     changeId: str,
 ) -> Change:
-    change = Change(changeId, base, world.nowMs(), mark="")
+    change = Change(changeId, base, world.nowMs(), mark="", content=content)
     history.changes.append(change)
     for at in range(5):
         try:
--- a/src/finchswitch/rehearsal/callers.py
+++ b/src/finchswitch/rehearsal/callers.py
@@ -14,7 +14,7 @@
 
 from finchswitch.constants import CALLER_WAIT_S, LOOK_MS
 from finchswitch.rehearsal.deployments import Traffic
-from finchswitch.rehearsal.history import Call, History
+from finchswitch.rehearsal.history import Call, History, Sight
 from finchswitch.wire import World
 
 __all__ = ["Desk", "call_once", "call_openly"]
@@ -27,6 +27,7 @@
     world: World
     nodes: dict[str, tuple[str, str]]  # name: (http address, district)
     ready: dict[str, bool] = field(default_factory=dict)
+    sights: list[Sight] = field(default_factory=list)  # the generation of each ready node, as often as it is looked at
 
     async def look(self) -> None:
         async with httpx.AsyncClient(transport=self.world.http_transport(), trust_env=False) as client:
@@ -37,9 +38,12 @@
                 await self.world.sleep(LOOK_MS)
 
     async def _look_at(self, client: httpx.AsyncClient, name: str) -> None:
+        askedMs = self.world.nowMs()
         try:
             response = await client.get(f"http://{self.nodes[name][0]}/ready", timeout=LOOK_MS / 1000)
             self.ready[name] = response.status_code == 200
+            if self.ready[name]:
+                self.sights.append(Sight(name, askedMs, self.world.nowMs(), response.json()["generation"]))
         except httpx.HTTPError:
             self.ready[name] = False
 
--- a/src/finchswitch/rehearsal/checkers.py
+++ b/src/finchswitch/rehearsal/checkers.py
@@ -4,6 +4,7 @@
 history that must fail.
 """
 
+from bisect import bisect_left
 from collections import Counter
 from collections.abc import Callable
 
@@ -14,8 +15,10 @@
     BRIEF_TRIES_FLOOR,
     BRIEF_TRIES_SHARE,
     BRIEF_TRIES_WINDOW_MS,
+    CLOCK_SLACK_MS,
 )
-from finchswitch.rehearsal.history import History
+from finchswitch.rehearsal.allowance import allowed_since, bound_spans
+from finchswitch.rehearsal.history import History, Sight
 
 __all__ = ["CHECKERS", "judge"]
 
@@ -52,8 +55,17 @@
 
 
 def only_allowed(history: History) -> list[str]:
-    foreign = [run for run in history.runs if run.incarnation not in history.allowed]
-    return [f"{run.requestId} ran on {run.incarnation}, never allowed" for run in foreign]
+    """A run is on a true incarnation, after it was listed, for a service that some change bound to its runner."""
+    breaches, since = [], allowed_since(history)
+    listedMs = {each.incarnation: each.atMs for each in reversed(history.listed) if each.what == "listed"}
+    for run in history.runs:
+        if run.incarnation not in history.allowed:
+            breaches.append(f"{run.requestId} ran on {run.incarnation}, never allowed")
+        elif history.listed and run.atMs < listedMs.get(run.incarnation, float("inf")):
+            breaches.append(f"{run.requestId} ran on {run.incarnation} before it was listed")
+        elif since and run.atMs < since.get((run.service, run.runner), float("inf")):
+            breaches.append(f"{run.requestId} of {run.service} ran on {run.runner}, never bound to it")
+    return breaches
 
 
 def leaving_left_alone(history: History) -> list[str]:
@@ -65,30 +77,50 @@
     ]
 
 
+def _sights(history: History) -> list[Sight]:
+    """Every moment at which a node's generation showed: when it said it was ready, and when it sent a request."""
+    beganMs = {(run.requestId, run.incarnation): run.atMs for run in history.runs}
+    seen = list(history.sights)
+    for call in history.calls:
+        if call.generation >= 0:
+            untilMs = beganMs.get((call.requestId, call.incarnation), call.firstMs)
+            seen.append(Sight(call.node, call.askedMs, untilMs, call.generation))
+    return seen
+
+
 def acknowledged_in_effect(history: History) -> list[str]:
-    """A request that reaches its runner two seconds after an acknowledged change sees at least its generation."""
+    """Two seconds after a change was acknowledged, no ready node is behind it, and no request is sent against it."""
     breaches, beganMs = [], {(run.requestId, run.incarnation): run.atMs for run in history.runs}
-    for change in history.changes:
-        if change.status != 200:
-            continue
-        for call in history.calls:
-            atMs = beganMs.get((call.requestId, call.incarnation), call.askedMs)
-            if 0 <= call.generation < change.generation and atMs > change.answeredMs + BRIEF_IN_EFFECT_MS:
-                breaches.append(f"{call.node} used {call.generation} after {change.generation} was acknowledged")
+    known = sorted((c.answeredMs + BRIEF_IN_EFFECT_MS, c.generation) for c in history.changes if c.status == 200)
+    due = [(atMs, max(generation for _, generation in known[: at + 1])) for at, (atMs, _) in enumerate(known)]
+    sent = [
+        Sight(c.node, beganMs.get((c.requestId, c.incarnation), c.askedMs), c.firstMs, c.generation)
+        for c in history.calls
+        if c.generation >= 0
+    ]
+    for sight in [*history.sights, *sent]:
+        newest = due[bisect_left(due, (sight.askedMs, -1)) - 1][1] if due and due[0][0] < sight.askedMs else -1
+        if sight.generation < newest:
+            breaches.append(f"{sight.node} showed {sight.generation} after {newest} was acknowledged")
+    for service, runners, sinceMs, untilMs in bound_spans(history):
+        for run in history.runs:
+            if run.service == service and sinceMs + BRIEF_IN_EFFECT_MS < run.atMs < untilMs:
+                if run.runner not in runners:
+                    breaches.append(f"{run.requestId} of {service} ran on {run.runner}, unbound by then")
     return breaches
 
 
 def never_back(history: History) -> list[str]:
     breaches: list[str] = []
-    seen: dict[str, list[tuple[float, int]]] = {}
-    for call in sorted(history.calls, key=lambda each: each.firstMs):
-        if call.generation < 0:
-            continue
-        earlier = seen.setdefault(call.node, [])
-        newest = max((generation for atMs, generation in earlier if atMs <= call.askedMs - BRIEF_BACK_MS), default=-1)
-        if call.generation < newest:
-            breaches.append(f"{call.node} went back from {newest} to {call.generation}")
-        earlier.append((call.firstMs, call.generation))
+    seen = _sights(history)
+    for node in sorted({each.node for each in seen}):
+        rows = [each for each in seen if each.node == node]
+        shown, at, newest = sorted(rows, key=lambda each: each.seenMs), 0, -1
+        for sight in sorted(rows, key=lambda each: each.askedMs):
+            while at < len(shown) and shown[at].seenMs <= sight.askedMs - BRIEF_BACK_MS:
+                newest, at = max(newest, shown[at].generation), at + 1
+            if sight.generation < newest:
+                breaches.append(f"{node} went back from {newest} to {sight.generation}")
     return breaches
 
 
@@ -127,31 +159,62 @@
 
 
 def planned_cuts_nothing(history: History) -> list[str]:
-    """A stream under way breaks only when its runner was made to fail, its node was, or its caller left."""
-    excused = history.failed
-    cut = [call for call in history.calls if call.pieces and not call.done and not call.left]
-    return [
-        f"{call.requestId} on {call.node} and {call.incarnation} was cut: {call.reason}"
-        for call in cut
-        if call.incarnation not in excused and call.node not in excused
-    ]
+    """A stream breaks only while its runner or its node was made to fail, or when its caller left."""
+    breaches = []
+    for call in history.calls:
+        endMs = call.endMs if call.endMs >= 0 else float("inf")
+        excused = call.left or any(
+            fault.name in (call.incarnation, call.node)
+            and fault.fromMs <= endMs + CLOCK_SLACK_MS
+            and call.askedMs <= fault.untilMs + CLOCK_SLACK_MS
+            for fault in history.faults
+        )
+        if call.pieces and not call.done and not excused:
+            breaches.append(f"{call.requestId} on {call.node} and {call.incarnation} was cut: {call.reason}")
+    return breaches
+
+
+def _over(extra: list[float], traffic: list[float], what: str) -> list[str]:
+    """Ten seconds that hold more of the extra than a fifth of their traffic and a few dozen."""
+    for at, startMs in enumerate(extra):
+        endMs = startMs + BRIEF_TRIES_WINDOW_MS
+        within = bisect_left(extra, endMs) - at
+        calls = bisect_left(traffic, endMs) - bisect_left(traffic, startMs)
+        if within > BRIEF_TRIES_SHARE * calls + BRIEF_TRIES_FLOOR:
+            return [f"{within} {what} against {calls} calls from {startMs:.0f} ms on"]
+    return []
 
 
 def tries_within(history: History) -> list[str]:
-    """Runs beyond each request's first, in any ten seconds, against the traffic of those ten seconds."""
-    seen: set[str] = set()
+    """Whatever reaches a runner beyond each request's first, and each connection for one, against the traffic.
+
+    A connection of which nothing came counts as extra, unless it stands for the first try of a call that never
+    reached any runner.
+    """
+    traffic = sorted(call.askedMs for call in history.calls)
+    arrivals = sorted([(run.atMs, run.requestId) for run in history.runs])
+    arrivals = sorted([*arrivals, *((each.atMs, each.requestId) for each in history.refusals)])
+    reached = {requestId for _, requestId in arrivals}
+    extra = _beyond_first(arrivals)
+    failed = sorted(dial.atMs for dial in history.dials if not dial.what)
+    for call in sorted(history.calls, key=lambda each: each.askedMs):
+        if call.requestId not in reached and call.reason_of_connection():
+            at = bisect_left(failed, call.askedMs)
+            if at < len(failed) and failed[at] <= call.endMs:
+                failed.pop(at)
+    dialled = _beyond_first(sorted((dial.atMs, dial.requestId) for dial in history.dials if dial.what == "request"))
+    connections = sorted([*dialled, *failed])
+    return _over(extra, traffic, "extra tries") or _over(connections, traffic, "extra connections")
+
+
+def _beyond_first(seen: list[tuple[float, str]]) -> list[float]:
+    known: set[str] = set()
     extra = []
-    for run in sorted(history.runs, key=lambda each: each.atMs):
-        if run.requestId in seen:
-            extra.append(run.atMs)
-        seen.add(run.requestId)
-    breaches = []
-    for startMs in extra:
-        within = sum(1 for atMs in extra if startMs <= atMs < startMs + BRIEF_TRIES_WINDOW_MS)
-        traffic = sum(1 for call in history.calls if startMs <= call.askedMs < startMs + BRIEF_TRIES_WINDOW_MS)
-        if within > BRIEF_TRIES_SHARE * traffic + BRIEF_TRIES_FLOOR:
-            breaches.append(f"{within} extra tries against {traffic} calls from {startMs:.0f} ms on")
-    return breaches[:1]
+    for atMs, requestId in seen:
+        if requestId in known:
+            extra.append(atMs)
+        known.add(requestId)
+    return extra
 
 
 def refusals_tell_when(history: History) -> list[str]:
--- a/src/finchswitch/rehearsal/history.py
+++ b/src/finchswitch/rehearsal/history.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-__all__ = ["Call", "Change", "History", "ListEvent", "Read", "RunSeen"]
+__all__ = ["Arrival", "Call", "Change", "DialSeen", "Fault", "History", "ListEvent", "Read", "RunSeen", "Sight"]
 
 
 @dataclass
@@ -33,6 +33,10 @@
     left: bool = False  # the caller went away by itself
     retryAfter: bool = False
 
+    def reason_of_connection(self) -> bool:
+        """Whether it ended, as its caller was told, because no connection to a runner came about."""
+        return any(f"{step} at " in self.reason for step in ("connect", "permit"))
+
 
 @dataclass
 class RunSeen:
@@ -46,6 +50,46 @@
     cached: bool = False
     pieces: int = 0
     whole: bool = False
+    service: str = ""
+
+
+@dataclass
+class Arrival:
+    """A request that reached a runner and was refused there as not started."""
+
+    requestId: str
+    incarnation: str
+    atMs: float
+
+
+@dataclass
+class DialSeen:
+    """A connection from a routing node to a runner's address, and what came over it; nothing when it failed."""
+
+    origin: str
+    address: str
+    atMs: float
+    what: str = ""  # "", "vitals" or "request"
+    requestId: str = ""
+
+
+@dataclass
+class Fault:
+    """A process or a runner was made to fail, from one moment to another."""
+
+    name: str
+    fromMs: float
+    untilMs: float = float("inf")
+
+
+@dataclass
+class Sight:
+    """A node that said it was ready showed this generation, at some moment between the two."""
+
+    node: str
+    askedMs: float
+    seenMs: float
+    generation: int
 
 
 @dataclass
@@ -59,6 +103,7 @@
     generation: int = -1
     answeredMs: float = -1.0
     mark: str = ""  # something found in the configuration only if this change took effect
+    content: dict[str, Any] = field(default_factory=dict)
 
 
 @dataclass
@@ -83,7 +128,18 @@
     changes: list[Change] = field(default_factory=list)
     reads: list[Read] = field(default_factory=list)
     listed: list[ListEvent] = field(default_factory=list)
-    allowed: set[str] = field(default_factory=set)  # incarnations whose runner some configuration allowed
-    failed: set[str] = field(default_factory=set)  # incarnations that were made to fail
+    allowed: set[str] = field(default_factory=set)  # incarnations that are of the runner whose name they bear
+    refusals: list[Arrival] = field(default_factory=list)
+    dials: list[DialSeen] = field(default_factory=list)
+    faults: list[Fault] = field(default_factory=list)
+    sights: list[Sight] = field(default_factory=list)
     marks: list[tuple[str, int, str]] = field(default_factory=list)  # (node, generation, mark) as read afterwards
     notes: dict[str, Any] = field(default_factory=dict)
+
+    def failing(self, name: str, atMs: float) -> None:
+        self.faults.append(Fault(name, atMs))
+
+    def mended(self, name: str, atMs: float) -> None:
+        for fault in self.faults:
+            if fault.name == name:
+                fault.untilMs = min(fault.untilMs, atMs)
--- a/src/finchswitch/rehearsal/measure.py
+++ b/src/finchswitch/rehearsal/measure.py
@@ -70,7 +70,6 @@
         await theatre.outside.sleep(1000 * trial.seconds / 4)
         first = theatre.deployment.runner_names()[0]
         if trial.condition == "lost":
-            theatre.history.failed.add(f"{first}-i1")
             theatre.kill(f"{first}-i1")
             theatre.platform.remove(f"{first}-i1")
         elif trial.condition == "plan":
--- a/src/finchswitch/rehearsal/net.py
+++ b/src/finchswitch/rehearsal/net.py
@@ -1,10 +1,11 @@
-"""A wire in memory: machines, connections between them, and what may go wrong on the way.
+"""A wire in memory: connections between machines, and what may go wrong on the way.
 
 Bytes take a moment to arrive. A cut, one-way or both, holds them back as lost packets would, and a connection
 attempt over it is silent. A killed process resets its connections; a machine that lost power says nothing. A
 frozen machine does nothing on any wire until it wakes.
 """
 
+import re
 from collections import deque
 from collections.abc import Callable
 from random import Random
@@ -13,52 +14,10 @@
 import anyio
 from anyio.abc import ByteStream
 
-__all__ = ["Machine", "Net", "SimListener", "SimStream"]
+from finchswitch.rehearsal.history import DialSeen
+from finchswitch.rehearsal.machine import Machine
 
-
-class Machine:
-    """One machine: frozen or not, with a clock that counts the time it was frozen."""
-
-    def __init__(self, name: str, bootMs: float) -> None:
-        self.name, self._bootMs = name, bootMs
-        self._thawed = anyio.Event()
-        self._thawed.set()
-        self._stalledUntilMs = -1e18
-        self.streams: set[SimStream] = set()
-        self.listeners: dict[str, SimListener] = {}
-
-    def nowMs(self) -> float:
-        return max(anyio.current_time() * 1000, self._stalledUntilMs) + self._bootMs
-
-    def freeze(self) -> None:
-        if self._thawed.is_set():
-            self._thawed = anyio.Event()
-
-    def thaw(self) -> None:
-        self._thawed.set()
-
-    def stall(self, waitMs: float) -> None:
-        """A call that did not return for so long: its caller sees the time gone, and nothing else ran."""
-        self._stalledUntilMs = max(self._stalledUntilMs, anyio.current_time() * 1000) + waitMs
-
-    async def gate(self) -> None:
-        while True:
-            leftMs = self._stalledUntilMs - anyio.current_time() * 1000
-            if leftMs > 0:
-                await anyio.sleep(leftMs / 1000)
-            elif self._thawed.is_set():
-                return
-            else:
-                await self._thawed.wait()
-
-    def cut_connections(self, silent: bool) -> None:
-        """What a kill (peers see a reset) or a loss of power (peers see nothing) does to the connections."""
-        for stream in sorted(self.streams, key=lambda each: each.number):
-            stream.die(silent)
-        for listener in self.listeners.values():
-            listener.closed = True
-        self.streams.clear()
-        self.listeners.clear()
+__all__ = ["Net", "SimListener", "SimStream", "host_of"]
 
 
 class Net:
@@ -69,6 +28,8 @@
         self._changed = anyio.Event()
         self._dark: set[str] = set()
         self._numbers = 0
+        self.watched = ""  # the end of the addresses whose dials are written down
+        self.dials: list[DialSeen] = []
 
     def machine(self, name: str) -> Machine:
         if name not in self.machines:
@@ -114,18 +75,30 @@
 
     async def dial(self, origin: Machine, address: str) -> "SimStream":
         """Connect: silent over a cut, refused where nobody listens."""
-        target = next((m for m in self.machines.values() if m.name == host_of(address)), None)
+        target = self.machines.get(host_of(address))
+        seen = DialSeen(origin.name, address, anyio.current_time() * 1000)
+        if self.watched and address.endswith(self.watched):
+            self.dials.append(seen)
         await self.unblocked(origin.name, host_of(address))
         await self.unblocked(host_of(address), origin.name)
         await anyio.sleep(self.delayMs() / 1000)
         if target is None or address not in target.listeners or target.listeners[address].closed:
             raise ConnectionRefusedError(f"nobody listens at {address}")
         near, far = SimStream(self, origin, target), SimStream(self, target, origin)
-        near.peer, far.peer = far, near
+        near.peer, far.peer, near.seen = far, near, seen
         target.listeners[address].put(far)
         return near
 
 
+def note_dial(seen: DialSeen, data: bytes) -> None:
+    """What went over a connection that was dialled: which request, or the reading of vitals."""
+    if data.startswith(b"GET /metrics"):
+        seen.what = "vitals"
+    elif data.startswith(b"POST "):
+        found = re.search(rb"\r\nx-request-id: ([^\r]*)\r\n", data, re.IGNORECASE)
+        seen.what, seen.requestId = "request", found[1].decode() if found else ""
+
+
 def host_of(address: str) -> str:
     return address.rpartition(":")[0]
 
@@ -142,6 +115,7 @@
         self._closed = False
         self._dead = False  # the process on this end is gone
         self._ended: str = ""  # what the other end did: "eof" or "reset"
+        self.seen: DialSeen | None = None
         machine.streams.add(self)
 
     @property
@@ -198,6 +172,8 @@
             raise anyio.ClosedResourceError
         if self._ended == "reset":
             raise anyio.BrokenResourceError
+        if self.seen is not None:
+            note_dial(self.seen, bytes(item))
         if not self.peer._closed and not self.peer._dead:
             self.peer.arrive(bytes(item), "")
 
--- /dev/null
+++ b/src/finchswitch/rehearsal/operated.py
@@ -0,0 +1,59 @@
+"""The operators of a rehearsed fleet: they send changes, and insist where an answer stays out."""
+
+from random import Random
+from typing import Any
+
+import httpx
+
+from finchswitch.rehearsal.history import Change, History
+from finchswitch.rehearsal.world import SimWorld
+
+__all__ = ["Operated"]
+
+
+class Operated:
+    """What a theatre's operators need of it, and what they do."""
+
+    history: History
+    chance: Random
+    outside: SimWorld
+    actors: dict[str, Any]
+    changes: int
+
+    def nowMs(self) -> float:
+        raise NotImplementedError
+
+    def of_kind(self, kind: str) -> list[Any]:
+        raise NotImplementedError
+
+    async def change(self, base: int, content: dict[str, Any], mark: str = "", at: str = "", **fixed: Any) -> Change:
+        """Send one change to one control node; its fate may stay open."""
+        self.changes += 1
+        change = Change(fixed.get("changeId", f"c{self.changes}"), base, self.nowMs(), mark=mark, content=content)
+        self.history.changes.append(change)
+        host = self.actors[at or self.chance.choice(self.of_kind("accord")).name].host
+        body = {"changeId": change.changeId, "base": base, "again": fixed.get("again", False), **content}
+        try:
+            async with httpx.AsyncClient(transport=self.outside.http_transport(), timeout=8) as client:
+                response = await client.post(f"http://{host}:8000/v1/changes", json=body)
+            change.status, change.generation = response.status_code, response.json().get("generation", -1)
+        except (httpx.HTTPError, ValueError):
+            change.status = 0
+        change.answeredMs = self.nowMs()
+        return change
+
+    async def insist(self, content: dict[str, Any], mark: str = "", mostMs: float = 20_000) -> Change:
+        """Send a change until it is taken, as a patient operator would."""
+        untilMs, base = self.nowMs() + mostMs, max(0, self.newest())
+        change = await self.change(base, content, mark)
+        while change.status not in (200, 202) and self.nowMs() < untilMs:
+            if change.status == 409:
+                base = change.generation
+                change = await self.change(base, content, mark)
+                continue
+            await self.outside.sleep(200)
+            change = await self.change(base, content, mark, changeId=change.changeId, again=True)
+        return change
+
+    def newest(self) -> int:
+        return max((change.generation for change in self.history.changes), default=0)
--- a/src/finchswitch/rehearsal/runner.py
+++ b/src/finchswitch/rehearsal/runner.py
@@ -45,6 +45,7 @@
     cached: bool
     pieces: int = 0
     whole: bool = False
+    service: str = ""
 
 
 @dataclass
@@ -55,10 +56,10 @@
     traits: Traits = field(default_factory=Traits)
     runs: list[Run] = field(default_factory=list)
     refusing: bool = False
-    refused: int = 0
+    refusals: list[tuple[str, float]] = field(default_factory=list)
     break_after: int | None = None  # pieces after which streams are cut
     proofMs: float = 0.0  # how long it takes to say who it is
-    lie: str = ""  # "identity" or "request": answer under a foreign name
+    lie: str = ""  # "identity" or "request": answer under a foreign name; "skip" or "twice": the second piece
 
     def __post_init__(self) -> None:
         self._cache: OrderedDict[str, int] = OrderedDict()
@@ -109,7 +110,7 @@
 
     async def run(self, request_id: str, body: dict[str, Any], send: Any) -> None:
         opening = opening_of(body["model"], body["messages"])
-        run = Run(request_id, self.runner, self.incarnation, self.world.nowMs(), 0, False)
+        run = Run(request_id, self.runner, self.incarnation, self.world.nowMs(), 0, False, service=str(body["model"]))
         self.runs.append(run)
         self.note(1)
         try:
@@ -139,7 +140,8 @@
             delta["finish_reason"] = "stop" if number == pieces else None
             chunk = {"id": run.requestId, "object": "chat.completion.chunk", "choices": [delta]}
             data = f"id: {number}\ndata: {json.dumps(chunk)}\n\n".encode()
-            await send({"type": "http.response.body", "body": data, "more_body": True})
+            for _ in range({"skip": 0, "twice": 2}.get(self.lie, 1) if number == 2 else 1):
+                await send({"type": "http.response.body", "body": data, "more_body": True})
             run.pieces = number
             await self.world.sleep(self.traits.pieceMs)
         run.whole = True
@@ -154,7 +156,7 @@
         request = Request(scope, receive)
         body, requestId = await request.json(), request.headers.get("x-request-id", "")
         if self._runner.refusing:
-            self._runner.refused += 1
+            self._runner.refusals.append((requestId, self._runner.world.nowMs()))
             names = {"x-runner": self._runner.runner, "x-incarnation": self._runner.incarnation}
             headers = {**names, "x-request-id": requestId, "x-outcome": "not-run"}
             refusal = JSONResponse({"error": "draining"}, 503, headers=headers)
--- a/src/finchswitch/rehearsal/scenes_load.py
+++ b/src/finchswitch/rehearsal/scenes_load.py
@@ -114,7 +114,7 @@
     for runner in theatre.runners.values():
         runner.refusing = False
     expect(theatre, all(call.outcome == "not-run" for call in calls), "what no runner took was not run")
-    refusals = sum(runner.refused for runner in theatre.runners.values())
+    refusals = sum(len(runner.refusals) for runner in theatre.runners.values())
     within = len(calls) * (1 + BRIEF_TRIES_SHARE) + BRIEF_TRIES_FLOOR
     expect(theatre, refusals <= within, f"{refusals} requests reached runners for {len(calls)} calls")
     await theatre.outside.sleep(3_000)
--- a/src/finchswitch/rehearsal/scenes_mixed.py
+++ b/src/finchswitch/rehearsal/scenes_mixed.py
@@ -22,10 +22,9 @@
 
 async def _freeze_one(theatre: Theatre) -> None:
     name = theatre.chance.choice([*accords(theatre), *transits(theatre)])
-    theatre.history.failed.add(name)
-    theatre.machine(name).freeze()
+    theatre.freeze(name)
     await theatre.outside.sleep(theatre.chance.uniform(200, 5_000))
-    theatre.machine(name).thaw()
+    theatre.thaw(name)
 
 
 async def _cut_some(theatre: Theatre) -> None:
@@ -52,20 +51,21 @@
     names = sorted(name for name in theatre.runners if theatre.actors[name].group is not None)
     name = theatre.chance.choice(names)
     runner = theatre.runners[name]
-    theatre.history.failed.add(name)
     what = theatre.chance.choice(["half", "refuse", "dark", "leave"])
+    if what != "leave":
+        theatre.failing(name)
     if what == "half":
         runner.break_after = theatre.chance.randint(0, 6)
     elif what == "refuse":
         runner.refusing = True
     elif what == "dark":
-        theatre.machine(name).freeze()
+        theatre.freeze(name)
     elif name in theatre.platform.points and len(theatre.platform.points) > 3:
         theatre.leave(name)
         theatre.start_runner(runner.runner, f"{runner.runner}-m{len(theatre.runners)}")
     await theatre.outside.sleep(theatre.chance.uniform(300, 2_500))
     runner.break_after, runner.refusing = None, False
-    theatre.machine(name).thaw()
+    theatre.thaw(name)
 
 
 async def _blind_platform(theatre: Theatre) -> None:
--- a/src/finchswitch/rehearsal/scenes_nodes.py
+++ b/src/finchswitch/rehearsal/scenes_nodes.py
@@ -32,10 +32,9 @@
     async def faults(_: Theatre) -> None:
         for _at in range(4):
             name = theatre.chance.choice([*accords(theatre), *transits(theatre)])
-            theatre.history.failed.add(name)
-            theatre.machine(name).freeze()
+            theatre.freeze(name)
             await theatre.outside.sleep(theatre.chance.uniform(500, 7_000))
-            theatre.machine(name).thaw()
+            theatre.thaw(name)
             await pause(theatre, 700)
 
     await open_up(theatre)
--- a/src/finchswitch/rehearsal/scenes_runners.py
+++ b/src/finchswitch/rehearsal/scenes_runners.py
@@ -13,7 +13,7 @@
             names = sorted(name for name, runner in theatre.runners.items() if theatre.actors[name].group is not None)
             name = theatre.chance.choice(names)
             runner, kind = theatre.runners[name], theatre.chance.choice(["crash", "dark", "half", "refuse", "lie"])
-            theatre.history.failed.add(name)
+            theatre.failing(name)
             if kind == "half":
                 runner.break_after = theatre.chance.randint(0, 5)
             elif kind == "refuse":
@@ -21,10 +21,10 @@
             elif kind == "lie":
                 runner.lie = theatre.chance.choice(["identity", "request"])
             elif kind == "dark":
-                theatre.machine(name).freeze()
+                theatre.freeze(name)
             await pause(theatre, 1_500)
             runner.break_after, runner.refusing, runner.lie = None, False, ""
-            theatre.machine(name).thaw()
+            theatre.thaw(name)
             if kind == "crash":
                 host = theatre.actors[name].host
                 theatre.kill(name)
@@ -50,7 +50,6 @@
             names = sorted(name for name, runner in theatre.runners.items() if runner.runner != "stranger")
             name = theatre.chance.choice([each for each in names if theatre.actors[each].group is not None])
             old, host = theatre.runners[name], theatre.actors[name].host
-            theatre.history.failed.add(name)
             shown = dict(theatre.platform.points)
             theatre.kill(name)
             theatre.start_runner("stranger", f"stranger-{at}", host)
--- a/src/finchswitch/rehearsal/theatre.py
+++ b/src/finchswitch/rehearsal/theatre.py
@@ -21,8 +21,9 @@
 from finchswitch.rehearsal.callers import Desk, call_openly
 from finchswitch.rehearsal.deployments import Deployment
 from finchswitch.rehearsal.disk import SimDisk
-from finchswitch.rehearsal.history import Change, History, ListEvent, RunSeen
+from finchswitch.rehearsal.history import Arrival, Fault, History, ListEvent, RunSeen
 from finchswitch.rehearsal.net import Net
+from finchswitch.rehearsal.operated import Operated
 from finchswitch.rehearsal.platform import StandInPlatform
 from finchswitch.rehearsal.runner import StandInRunner, Traits
 from finchswitch.rehearsal.world import SimWorld
@@ -30,7 +31,9 @@
 from finchswitch.transit.doors import make_doors
 from finchswitch.transit.node import Node
 
-__all__ = ["Theatre"]
+__all__ = ["RUNNER_PORT", "Theatre"]
+
+RUNNER_PORT = ":9000"
 
 
 @dataclass
@@ -48,7 +51,7 @@
     closed: anyio.Event | None = None
 
 
-class Theatre:
+class Theatre(Operated):
     def __init__(self, deployment: Deployment, seed: int, group: TaskGroup) -> None:
         self.deployment, self._group = deployment, group
         self.chance = Random(seed)
@@ -59,19 +62,21 @@
         self.runners: dict[str, StandInRunner] = {}
         self.outside = self._world("10.0.0.1")
         self.changes = 0
+        self.net.watched = RUNNER_PORT
         self._hosts = 0
         cores = [f"accord{at}" for at in range(1, deployment.cores + 1)]
         for name in cores:
-            self._cast(name, "accord", "core", f"10.0.9.{len(self.actors) + 1}")
+            self.cast(name, "accord", "core", f"10.0.9.{len(self.actors) + 1}")
         for at, district in enumerate(deployment.districts, 1):
-            self._cast(f"transit{at}", "transit", district, f"10.0.1.{at}")
+            self.cast(f"transit{at}", "transit", district, f"10.0.1.{at}")
         self._seeds = [f"{actor.host}:7100" for actor in self.of_kind(deployment.seeds)[:3]]
-        self.desk = Desk(self.outside, {a.name: (f"{a.host}:8000", a.district) for a in self.of_kind("transit")})
+        doors = {a.name: (f"{a.host}:8000", a.district) for a in self.of_kind("transit")}
+        self.desk = Desk(self.outside, doors, sights=self.history.sights)
 
     def _world(self, host: str) -> SimWorld:
         return SimWorld(self.net, self.net.machine(host), self.chance.getrandbits(32))
 
-    def _cast(self, name: str, kind: str, district: str, host: str) -> None:
+    def cast(self, name: str, kind: str, district: str, host: str) -> None:
         self.actors[name] = Actor(name, host, kind, district)
 
     def of_kind(self, kind: str) -> list[Actor]:
@@ -97,7 +102,7 @@
         self.runners[incarnation] = runner
         actor = self.actors[incarnation] = Actor(incarnation, host, "runner", "")
         self._group.start_soon(self._run, actor, self._run_runner)
-        self.platform.list_runner(name, incarnation, f"{host}:9000")
+        self.platform.list_runner(name, incarnation, f"{host}{RUNNER_PORT}")
         self.history.listed.append(ListEvent(incarnation, "listed", anyio.current_time() * 1000))
 
     def start(self, name: str) -> None:
@@ -114,7 +119,7 @@
 
     async def _run_runner(self, actor: Actor, group: TaskGroup) -> None:
         runner = self.runners[actor.name]
-        await runner.world.serve_http(runner.app(), f"{actor.host}:9000", anyio.Event())
+        await runner.world.serve_http(runner.app(), f"{actor.host}{RUNNER_PORT}", anyio.Event())
 
     def _startup(self, actor: Actor) -> Startup:
         place = (f"{actor.host}:7100", f"{actor.host}:8000", actor.district)
@@ -143,7 +148,7 @@
     def kill(self, name: str, power: bool = False) -> None:
         """kill -9, or the power gone: then peers see nothing, and the disk loses what was not synced."""
         actor = self.actors[name]
-        self.history.failed.add(name)
+        self.history.faults.append(Fault(name, self.nowMs(), self.nowMs()))
         if power:
             self.net.darken(actor.host)
             if name in self.disks:
@@ -168,45 +173,26 @@
     def machine(self, name: str) -> Any:
         return self.net.machine(self.actors[name].host)
 
+    def failing(self, name: str) -> None:
+        """From now on what it cuts is excused, until it is mended."""
+        self.history.failing(name, self.nowMs())
+
+    def freeze(self, name: str) -> None:
+        self.failing(name)
+        self.machine(name).freeze()
+
+    def thaw(self, name: str) -> None:
+        """Whatever was wrong with it is over."""
+        self.machine(name).thaw()
+        self.history.mended(name, self.nowMs())
+
     def isolate(self, name: str, others: list[str], both: bool = True) -> None:
         for other in others:
             self.net.cut(self.actors[name].host, self.actors[other].host)
             if both:
                 self.net.cut(self.actors[other].host, self.actors[name].host)
 
-    # What operators and callers do.
-
-    async def change(self, base: int, content: dict[str, Any], mark: str = "", at: str = "", **fixed: Any) -> Change:
-        """Send one change to one control node; its fate may stay open."""
-        self.changes += 1
-        change = Change(fixed.get("changeId", f"c{self.changes}"), base, self.nowMs(), mark=mark)
-        self.history.changes.append(change)
-        host = self.actors[at or self.chance.choice(self.of_kind("accord")).name].host
-        body = {"changeId": change.changeId, "base": base, "again": fixed.get("again", False), **content}
-        try:
-            async with httpx.AsyncClient(transport=self.outside.http_transport(), timeout=8) as client:
-                response = await client.post(f"http://{host}:8000/v1/changes", json=body)
-            change.status, change.generation = response.status_code, response.json().get("generation", -1)
-        except (httpx.HTTPError, ValueError):
-            change.status = 0
-        change.answeredMs = self.nowMs()
-        return change
-
-    async def insist(self, content: dict[str, Any], mark: str = "", mostMs: float = 20_000) -> Change:
-        """Send a change until it is taken, as a patient operator would."""
-        untilMs, base = self.nowMs() + mostMs, max(0, self.newest())
-        change = await self.change(base, content, mark)
-        while change.status not in (200, 202) and self.nowMs() < untilMs:
-            if change.status == 409:
-                base = change.generation
-                change = await self.change(base, content, mark)
-                continue
-            await self.outside.sleep(200)
-            change = await self.change(base, content, mark, changeId=change.changeId, again=True)
-        return change
-
-    def newest(self) -> int:
-        return max((change.generation for change in self.history.changes), default=0)
+    # What callers do.
 
     def nowMs(self) -> float:
         return anyio.current_time() * 1000
@@ -238,8 +224,14 @@
             call.askedMs -= bootMs
             call.firstMs -= bootMs if call.firstMs >= 0 else 0
             call.endMs -= bootMs if call.endMs >= 0 else 0
+        for sight in self.history.sights:
+            sight.askedMs, sight.seenMs = sight.askedMs - bootMs, sight.seenMs - bootMs
+        self.history.dials = self.net.dials
         for runner in self.runners.values():
             bootMs = runner.world.nowMs() - self.nowMs()
+            self.history.refusals += [
+                Arrival(each, runner.incarnation, atMs - bootMs) for each, atMs in runner.refusals
+            ]
             self.history.runs += [RunSeen(**{**vars(run), "atMs": run.atMs - bootMs}) for run in runner.runs]
         self.history.allowed |= {each for each in self.runners if self.runners[each].runner != "stranger"}
         return self.history
--- a/src/finchswitch/rehearsal/world.py
+++ b/src/finchswitch/rehearsal/world.py
@@ -19,7 +19,8 @@
 from hypercorn.utils import wrap_app
 
 from finchswitch.constants import STOP_MOST_MS
-from finchswitch.rehearsal.net import Machine, Net, SimListener, SimStream, host_of
+from finchswitch.rehearsal.machine import Machine
+from finchswitch.rehearsal.net import Net, SimListener, SimStream, host_of
 from finchswitch.wire.client import Proof, make_transport
 
 __all__ = ["SimWorld"]
--- a/tests/test_checkers.py
+++ b/tests/test_checkers.py
@@ -3,7 +3,18 @@
 import pytest
 
 from finchswitch.rehearsal.checkers import CHECKERS, judge
-from finchswitch.rehearsal.history import Call, Change, History, ListEvent, Read, RunSeen
+from finchswitch.rehearsal.history import (
+    Arrival,
+    Call,
+    Change,
+    DialSeen,
+    Fault,
+    History,
+    ListEvent,
+    Read,
+    RunSeen,
+    Sight,
+)
 
 
 def whole_call(number=1, **changed):
@@ -17,7 +28,7 @@
 
 
 def run_of(call, **changed):
-    run = RunSeen(call.requestId, "r", "r-i1", call.askedMs + 1, pieces=2, whole=True)
+    run = RunSeen(call.requestId, "r", "r-i1", call.askedMs + 1, pieces=2, whole=True, service=call.service)
     for field, value in changed.items():
         setattr(run, field, value)
     return run
@@ -50,6 +61,67 @@
 }
 
 
+def binding(name, base, sentMs, runners, status=200):
+    content = {"edits": [{"kind": "bindings", "name": "b", "value": {"service": "m", "runners": runners}}]}
+    return Change(name, base, sentMs, status, base + 1, sentMs + 100, content=content)
+
+
+EIGHT = [whole_call(n) for n in range(1, 9)]
+# What an eye that is too weak lets pass: name of the checker, and a history that it must not excuse.
+BLIND = {
+    "a run of a service on a runner that is another's": (
+        "only-allowed",
+        history_of(ONE, changes=[binding("x", 1, 0.0, ["s"])]),
+    ),
+    "a run before its change was sent": ("only-allowed", history_of(ONE, changes=[binding("x", 1, 5_000.0, ["r"])])),
+    "a run before it was listed": ("only-allowed", history_of(ONE, listed=[ListEvent("r-i1", "listed", 2_000.0)])),
+    "a run long after it was unbound": (
+        "acknowledged-in-effect",
+        history_of(whole_call(9), changes=[binding("x", 1, 0.0, ["r"]), binding("y", 2, 500.0, ["s"])]),
+    ),
+    "a ready node behind, without a call": (
+        "acknowledged-in-effect",
+        History(changes=[change_of("x", 1, 200, 2, 100.0)], sights=[Sight("t1", 2_200.0, 2_201.0, 1)]),
+    ),
+    "a ready node that falls back, without a call": (
+        "never-back",
+        History(sights=[Sight("t1", 0.0, 10.0, 2), Sight("t1", 300.0, 310.0, 1)]),
+    ),
+    "a stream cut long after its runner was mended": (
+        "planned-cuts-nothing",
+        history_of(whole_call(9, done=False), faults=[Fault("r-i1", 100.0, 200.0), Fault("t1", 20_000.0)]),
+    ),
+    "refused tries": (
+        "tries-within",
+        history_of(*EIGHT, refusals=[Arrival("c1", "r-i1", 1_000.0 + n) for n in range(40)]),
+    ),
+    "failed connections": (
+        "tries-within",
+        history_of(*EIGHT, dials=[DialSeen("t1", "r", 1_000.0 + n) for n in range(40)]),
+    ),
+    "connections for one request": (
+        "tries-within",
+        history_of(*EIGHT, dials=[DialSeen("t1", "r", 1_000.0 + n, "request", "c1") for n in range(40)]),
+    ),
+}
+
+
+@pytest.mark.parametrize("what", BLIND)
+def test_checker_is_not_blind_to(what):
+    name, history = BLIND[what]
+    assert CHECKERS[name](history) != []
+
+
+def test_what_is_excused():
+    cut = whole_call(9, done=False)
+    assert CHECKERS["planned-cuts-nothing"](history_of(cut, faults=[Fault("t1", 9_020.0, 9_020.0)])) == []
+    assert CHECKERS["planned-cuts-nothing"](history_of(cut, faults=[Fault("r-i1", 100.0)])) == []
+    again = [binding("x", 1, 0.0, ["r"]), binding("y", 2, 500.0, ["s"]), binding("z", 3, 8_000.0, ["r"], 504)]
+    assert CHECKERS["acknowledged-in-effect"](history_of(whole_call(9, generation=4), changes=again)) == []
+    waiting = [DialSeen("t1", "r", 1_000.0 + n, "vitals") for n in range(40)]
+    assert CHECKERS["tries-within"](history_of(*EIGHT, dials=waiting)) == []
+
+
 @pytest.mark.parametrize("name", CHECKERS)
 def test_checker_finds_its_breach(name):
     assert CHECKERS[name](BAD[name]) != []
--- a/tests/test_shared_state.py
+++ b/tests/test_shared_state.py
@@ -10,7 +10,7 @@
 from finchswitch.accord.store import Store, StoreState
 from finchswitch.mishap import Mishap, MishapKind
 from finchswitch.rehearsal.disk import SimDisk
-from finchswitch.rehearsal.net import Machine
+from finchswitch.rehearsal.machine import Machine
 from finchswitch.shelf import RealDisk, Shelf
 
 GROUP = ["a", "b", "c"]
