A store left out of the group stands no more, and later ones stand in their turn

Cause: after a swap that was never committed, the store that it would have brought in stood for ever and the others waited for it. Ruled out: a lost document, two majorities.

--- a/src/finchswitch/accord/register.py
+++ b/src/finchswitch/accord/register.py
@@ -67,6 +67,8 @@
         self.ballot: Ballot = (0, "")
         self.highest = 0  # highest ballot number seen anywhere
         self.document: Document | None = None
+        self._foundBallot: Ballot = (0, "")
+        self._left_out: tuple[Ballot, int] = ((0, ""), -1)  # of the newest found whose group lacks this store
 
     @property
     def state(self) -> OwnState:
@@ -93,7 +95,11 @@
                 self.step_down("No majority for a ballot.")
                 return False
             self._walker.take(OwnEvent.ELECTED)
-            if self._store not in found["group"] or not await self._accept(found, None):
+            if self._store not in found["group"]:
+                self._left_out = max(self._left_out, (self._foundBallot, found["step"]))
+                self.step_down("This store is not of the group that was found.")
+                return False
+            if not await self._accept(found, None):
                 self.step_down("What was found could not be accepted again.")
                 return False
             self.document = found
@@ -101,6 +107,10 @@
             _log.info("Owner of {} at generation {} by ballot {}.", self.part, found["generation"], self.ballot)
             return True
 
+    def left_out(self, ballot: Ballot, step: int) -> bool:
+        """Whether a document as new as this one was already found to be overtaken by one without this store."""
+        return (ballot, step) <= self._left_out
+
     async def commit(self, base: Document, following: Document) -> None:
         """Have the next generation accepted, or raise: REFUSED is surely not taken, LOST is open."""
         async with self._lock:
@@ -156,6 +166,7 @@
                 held, heldBallot = answer["document"], read_ballot(answer["ballot"])
                 if (heldBallot, held["step"]) >= (bestBallot, best["step"]):
                     best, bestBallot = held, heldBallot
+            self._foundBallot = bestBallot
             return best
         return None
 
--- a/src/finchswitch/accord/tending.py
+++ b/src/finchswitch/accord/tending.py
@@ -1,8 +1,8 @@
 """Tending the parts: standing for those without an owner, and giving a silent member's place to a spare.
 
-A node stands only if it sees a majority of the part's group and is the first of those it sees in the part's own
-order, so that rivals are rare. A swap changes one member, and only under a ballot whose owner has already had a
-document accepted.
+A node stands only if it sees a majority of the part's group. Those it sees have their turns in the part's own order,
+so that rivals are rare; a later one stands when those before it did not, since what they hold may differ. A swap
+changes one member, and only under a ballot whose owner has already had a document accepted.
 """
 
 import hashlib
@@ -10,7 +10,15 @@
 
 from finchswitch.accord.document import Document, succeed
 from finchswitch.accord.store import StoreState
-from finchswitch.constants import BEAT_MS, GROUP, PREPARE_WAIT_MS, REPLACE_AFTER_MS, SESSION_SILENT_MS, STAND_PAUSE_MS
+from finchswitch.constants import (
+    BEAT_MS,
+    GROUP,
+    PREPARE_WAIT_MS,
+    REPLACE_AFTER_MS,
+    SESSION_SILENT_MS,
+    STAND_PAUSE_MS,
+    STAND_TURN_MS,
+)
 from finchswitch.logs import prefix
 from finchswitch.mishap import Mishap
 
@@ -60,16 +68,18 @@
 
 async def tend_part(council: "Council", part: str) -> None:
     """One part's care, as a loop of its own."""
-    register, world = council.registers[part], council.world
+    register, world, ownedMs = council.registers[part], council.world, council.world.nowMs()
     while True:
         await world.sleep(BEAT_MS / 4)
         document = council.store.acceptors[part].document
+        if council.owner_of(part, world.nowMs())[0]:
+            ownedMs = world.nowMs()
         if document is None or council.store.state is not StoreState.VOTING:
             continue
         try:
             if register.owns():
                 await _swap_silent(council, part, world.nowMs())
-            elif _should_stand(council, part, document, world.nowMs()):
+            elif _should_stand(council, part, document, world.nowMs(), ownedMs):
                 if await register.stand(document):
                     council.announce(part)
                 else:
@@ -79,12 +89,15 @@
             _log.warning("Tending {} met a mishap. {}", part, mishap)
 
 
-def _should_stand(council: "Council", part: str, document: Document, nowMs: float) -> bool:
+def _should_stand(council: "Council", part: str, document: Document, nowMs: float, ownedMs: float) -> bool:
     if council.owner_of(part, nowMs)[0] or council.store.store not in document["group"]:
         return False
+    if council.registers[part].left_out(council.store.acceptors[part].ballot, document["step"]):
+        return False
     seen = {council.store.store, *(kin.store for kin in council.kindred.alive(nowMs))}
     here = [store for store in _order(part, document["group"]) if store in seen]
-    return 2 * len(here) > len(document["group"]) and here[0] == council.store.store
+    turnMs = ownedMs + STAND_TURN_MS * here.index(council.store.store)
+    return 2 * len(here) > len(document["group"]) and nowMs >= turnMs
 
 
 async def _swap_silent(council: "Council", part: str, nowMs: float) -> None:
--- a/src/finchswitch/rehearsal/storms.py
+++ b/src/finchswitch/rehearsal/storms.py
@@ -9,7 +9,7 @@
 import anyio
 import httpx
 
-from finchswitch.constants import STORM_MS, STORM_OPERATORS
+from finchswitch.constants import CREED_PART, STORM_MS, STORM_OPERATORS
 from finchswitch.rehearsal.history import Read
 from finchswitch.rehearsal.scenes import Scene, expect, mark_edit, read_back
 from finchswitch.rehearsal.theatre import Theatre
@@ -94,9 +94,9 @@
 async def _freeze(theatre: Theatre) -> None:
     name = theatre.chance.choice(theatre.of_kind("accord")).name
     if theatre.chance.random() < 0.5:
-        theatre.machine(name).freeze()
+        theatre.freeze(name)
         await theatre.outside.sleep(theatre.chance.uniform(100, 3_000))
-        theatre.machine(name).thaw()
+        theatre.thaw(name)
     else:
         theatre.disks[name].slowMs = theatre.chance.choice([30.0, 300.0, 900.0])
         await theatre.outside.sleep(theatre.chance.uniform(100, 2_000))
@@ -124,4 +124,38 @@
     await _storm(theatre, any_of)
 
 
+async def swap_cut(theatre: Theatre) -> None:
+    """A member is cut off until the owner would swap a spare in for it, and then the other member is as well.
+
+    Owner and spare are together on one side then, and the two other members, a majority of the former group, on the
+    other. Only one of the sides may take changes.
+    """
+    await theatre.insist({"configuration": theatre.deployment.creed()})
+    theatre.cast("accord4", "accord", "core", "10.0.9.14")
+    theatre.start("accord4")
+    await theatre.outside.sleep(2_000)
+    councils = {actor.name: actor.council for actor in theatre.of_kind("accord")}
+    owner = next(name for name, council in councils.items() if council and council.registers[CREED_PART].owns())
+    first, second = theatre.chance.sample([name for name in councils if name not in (owner, "accord4")], 2)
+    theatre.isolate(first, [owner, "accord4"])
+    await theatre.outside.sleep(theatre.chance.uniform(2_500, 3_900))
+    theatre.isolate(second, [owner, "accord4"])
+    await theatre.outside.sleep(theatre.chance.uniform(1_500, 3_000))
+    async with anyio.create_task_group() as group:
+        for at in (owner, "accord4", first, second):
+            group.start_soon(_operate_at, theatre, at)
+    await _close(theatre)
+
+
+async def _operate_at(theatre: Theatre, at: str) -> None:
+    untilMs, base, number = theatre.nowMs() + 8_000, 1, 0
+    while theatre.nowMs() < untilMs:
+        number += 1
+        mark = f"mark-{at}-{number}"
+        change = await theatre.change(base, mark_edit(mark), mark, at=at)
+        base = change.generation if change.generation >= 0 else base
+        await theatre.outside.sleep(theatre.chance.uniform(50, 400))
+
+
 STORMS: dict[str, Scene] = {"kills-storm": kills_storm, "cuts-storm": cuts_storm, "mixed-storm": mixed_storm}
+STORMS["swap-cut"] = swap_cut
