An answer's length is bounded by a setting, and a caller that reads nothing holds nothing

Cause: a planned stop cut streams at 60 s; hypercorn's shielded send let a silent caller hold seat and stop for ever, which the rehearsed wire, taking any amount unread, could not show. Ruled out: cancelling the send, a queue between. Before: a 100 s answer is cut by a stop, a silent caller's seat never freed.

--- a/src/finchswitch/constants.py
+++ b/src/finchswitch/constants.py
@@ -104,7 +104,10 @@
 
 # Stopping
 STOP_SETTLE_MS: Final = 500  # after unready and before the door closes: the platform looks again meanwhile
-STOP_MOST_MS: Final = 60_000  # streams under way get this long to finish
+ANSWER_MOST_MS: Final = 600_000  # default bound of one answer; a summary of a large file takes a few minutes
+ANSWER_LEAST_MS: Final = 10_000  # a bound under this would cut ordinary answers
+ANSWER_LONGEST_MS: Final = 3_600_000  # the longest that an operator may allow; a stop may have to wait for it
+CALLER_STILL_MS: Final = 30_000  # a caller that neither sends nor reads for this long has its connection closed
 
 # Bounds of what an operator may configure
 TRIES_SHARE_MOST: Final = 0.2  # the brief's fifth
@@ -124,6 +127,7 @@
 
 # The rehearsal
 CLOCK_SLACK_MS: Final = 1.0  # clocks of rehearsed machines start far apart; their sums round by less than this
+SIM_WINDOW_BYTES: Final = 65_536  # what a rehearsed connection holds unread before its sender has to wait
 LOOK_MS: Final = 250  # how often the stand-in platform looks at a node's readiness
 CALLER_WAIT_S: Final = 60  # a stand-in caller's patience, far past any due
 REPLAY_WAIT_S: Final = 120  # a replayed request's patience
--- a/src/finchswitch/creed/check.py
+++ b/src/finchswitch/creed/check.py
@@ -13,6 +13,8 @@
 from serde import SerdeError, from_dict
 
 from finchswitch.constants import (
+    ANSWER_LEAST_MS,
+    ANSWER_LONGEST_MS,
     DUE_LEAST_MS,
     DUE_MOST_MS,
     HOT_SET_MOST,
@@ -110,6 +112,7 @@
     wrong: list[str] = []
     _range(wrong, "settings.triesShare", creed.settings.triesShare, 0, TRIES_SHARE_MOST)
     _range(wrong, "settings.spillShare", creed.settings.spillShare, SPILL_SHARE_LEAST, 1)
+    _range(wrong, "settings.answerMostMs", creed.settings.answerMostMs, ANSWER_LEAST_MS, ANSWER_LONGEST_MS)
     for name, service in creed.services.items():
         _range(wrong, f"services.{name}.dueMs", service.dueMs, DUE_LEAST_MS, DUE_MOST_MS)
         _range(wrong, f"services.{name}.hotMost", service.hotMost, 0, HOT_SET_MOST)
--- a/src/finchswitch/creed/model.py
+++ b/src/finchswitch/creed/model.py
@@ -8,6 +8,7 @@
 from serde import field, serde, strict
 
 from finchswitch.constants import (
+    ANSWER_MOST_MS,
     DUE_DEFAULT_MS,
     HOT_ENTER_SHARE,
     HOT_LEAVE_SHARE,
@@ -70,6 +71,7 @@
 
     triesShare: float = TRIES_SHARE
     spillShare: float = SPILL_BURDEN_SHARE
+    answerMostMs: int = ANSWER_MOST_MS
 
 
 @serde(type_check=strict, deny_unknown_fields=True)
--- a/src/finchswitch/programs/cli.py
+++ b/src/finchswitch/programs/cli.py
@@ -105,12 +105,13 @@
 def rehearse(
     scene: Annotated[str, typer.Argument(help="A scene's name, or all.")] = "all",
     seeds: Annotated[str, typer.Option(help="First and last seed, as 1-20, or one seed to replay it.")] = "1-3",
+    deployment: Annotated[str, typer.Option(help="village (small), hobart or zuerich (full size).")] = "village",
     log: Annotated[str, typer.Option(help="Log level of the rehearsed nodes; error hides most.")] = "critical",
 ) -> None:
     """Run failure scenes in virtual time over many seeds; names each failing seed, which replays the same."""
     from finchswitch.programs.rehearse import run_rehearsal
 
-    raise typer.Exit(run_rehearsal(scene, seeds, log))
+    raise typer.Exit(run_rehearsal(scene, seeds, deployment, log))
 
 
 @app.command()
--- a/src/finchswitch/programs/rehearse.py
+++ b/src/finchswitch/programs/rehearse.py
@@ -16,11 +16,14 @@
 __all__ = ["run_measure", "run_rehearsal"]
 
 
-def run_rehearsal(scene: str, seeds: str, log: str) -> int:
+def run_rehearsal(scene: str, seeds: str, deployment: str, log: str) -> int:
     first, _, last = seeds.partition("-")
     if scene != "all" and scene not in ALL:
         typer.echo(f"scene: {scene} is none of {', '.join(ALL)}", err=True)
         return 2
+    if deployment not in DEPLOYMENTS:
+        typer.echo(f"deployment: {deployment} is none of {', '.join(DEPLOYMENTS)}", err=True)
+        return 2
     if not first.isdigit() or not (last or first).isdigit():
         typer.echo(f"seeds: {seeds} is neither a number nor two with a dash", err=True)
         return 2
@@ -29,12 +32,13 @@
     for name in ALL if scene == "all" else [scene]:
         for seed in range(int(first), int(last or first) + 1):
             beganS = time.monotonic()
-            history, faults = perform(name, seed)
+            history, faults = perform(name, seed, DEPLOYMENTS[deployment])
             report = make_report(history)
             outcomes = {service: each["outcomes"] for service, each in report["services"].items()}
             changes = dict(Counter(change.status for change in history.changes))
             tookS = time.monotonic() - beganS
-            typer.echo(f"{name} {seed}: {'FAILED' if faults else 'held'}, {outcomes}, changes {changes}, {tookS:.1f} s")
+            verdict = "FAILED" if faults else "held"
+            typer.echo(f"{name} {deployment} {seed}: {verdict}, {outcomes}, changes {changes}, {tookS:.1f} s")
             for fault in faults:
                 typer.echo(f"  {fault}")
             failed += bool(faults)
--- a/src/finchswitch/programs/transit.py
+++ b/src/finchswitch/programs/transit.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from finchswitch.constants import STOP_MOST_MS, STOP_SETTLE_MS
+from finchswitch.constants import CALLER_STILL_MS, STOP_SETTLE_MS
 from finchswitch.logs import prefix
 from finchswitch.programs.startup import Startup
 from finchswitch.transit.asks import run_node
@@ -44,7 +44,7 @@
     await node.world.sleep(STOP_SETTLE_MS)
     node.member.stop()
     stop.set()
-    with anyio.move_on_after(STOP_MOST_MS / 1000):
+    with anyio.move_on_after((node.creed().settings.answerMostMs + 2 * CALLER_STILL_MS) / 1000):
         await closed.wait()
     await node.member.leave()
     _log.info("Left.")
--- a/src/finchswitch/rehearsal/net.py
+++ b/src/finchswitch/rehearsal/net.py
@@ -14,6 +14,7 @@
 import anyio
 from anyio.abc import ByteStream
 
+from finchswitch.constants import CALLER_STILL_MS, SIM_WINDOW_BYTES
 from finchswitch.rehearsal.history import DialSeen
 from finchswitch.rehearsal.machine import Machine
 
@@ -111,7 +112,7 @@
         self.number = net.number()
         self.peer: SimStream = self
         self._arrivals: deque[tuple[float, bytes]] = deque()
-        self._event = anyio.Event()
+        self._event, self._taken = anyio.Event(), anyio.Event()
         self._closed = False
         self._dead = False  # the process on this end is gone
         self._ended: str = ""  # what the other end did: "eof" or "reset"
@@ -161,6 +162,8 @@
                 await anyio.sleep(leftMs / 1000)
             else:
                 self._arrivals.popleft()
+                self._taken.set()
+                self._taken = anyio.Event()
                 if len(data) > max_bytes:
                     self._arrivals.appendleft((atMs, data[max_bytes:]))
                 return data[:max_bytes]
@@ -176,6 +179,18 @@
             note_dial(self.seen, bytes(item))
         if not self.peer._closed and not self.peer._dead:
             self.peer.arrive(bytes(item), "")
+            await self._room()
+
+    async def _room(self) -> None:
+        """Wait while the other end leaves too much unread; the kernel gives it up when it takes nothing for long."""
+        while sum(len(data) for _, data in self.peer._arrivals) > SIM_WINDOW_BYTES:
+            taken = self.peer._taken
+            with anyio.move_on_after(CALLER_STILL_MS / 1000):
+                await taken.wait()
+            if not taken.is_set():
+                self._ended = "reset"
+                self.die(silent=False)
+                raise anyio.BrokenResourceError
 
     async def send_eof(self) -> None:
         if not self._closed and not self._dead:
--- a/src/finchswitch/rehearsal/scenes_plans.py
+++ b/src/finchswitch/rehearsal/scenes_plans.py
@@ -8,12 +8,18 @@
 from finchswitch.rehearsal.scenes import accords, close_up, expect, open_up, pause, scene, transits
 from finchswitch.rehearsal.theatre import Theatre
 
-_LEAVING = "village-r1"
-_ARRIVING = "village-n1"
 
+def _leaving(theatre: Theatre) -> str:
+    return theatre.deployment.runner_names()[0]
 
-def _plan(step: str = "running", **changed: Any) -> dict[str, Any]:
-    value = {"leaving": [_LEAVING], "arriving": [_ARRIVING], "bindings": ["rulings", "rounds"], "step": step, **changed}
+
+def _arriving(theatre: Theatre) -> str:
+    return theatre.deployment.spare[0]
+
+
+def _plan(theatre: Theatre, step: str = "running") -> dict[str, Any]:
+    bindings = [each.service for each in theatre.deployment.traffic]
+    value = {"leaving": [_leaving(theatre)], "arriving": [_arriving(theatre)], "bindings": bindings, "step": step}
     return {"edits": [{"kind": "plans", "name": "move", "value": value}]}
 
 
@@ -71,7 +77,7 @@
     seen: list[float] = []
     async with anyio.create_task_group() as group:
         group.start_soon(theatre.call, 30_000, 1.0)
-        await theatre.insist(_plan())
+        await theatre.insist(_plan(theatre))
         group.start_soon(_watch_shares, theatre, seen)
         for _ in range(4):
             await pause(theatre, 2_500)
@@ -86,8 +92,8 @@
     expect(theatre, steps <= {0.125}, f"one step after the other: {steps}")
     doneMs = theatre.nowMs()
     await theatre.call(2_000, 1.0, "-moved")
-    expect(theatre, _runs_since(theatre, f"{_LEAVING}-i1", doneMs) == 0, "nothing more for the leaving runner")
-    expect(theatre, _runs_since(theatre, f"{_ARRIVING}-i1", doneMs) > 0, "the arriving runner serves")
+    expect(theatre, _runs_since(theatre, f"{_leaving(theatre)}-i1", doneMs) == 0, "nothing more for the leaving runner")
+    expect(theatre, _runs_since(theatre, f"{_arriving(theatre)}-i1", doneMs) > 0, "the arriving runner serves")
     await close_up(theatre)
 
 
@@ -98,7 +104,7 @@
     seen: list[float] = []
     async with anyio.create_task_group() as group:
         group.start_soon(theatre.call, 20_000, 0.3)
-        await theatre.insist(_plan())
+        await theatre.insist(_plan(theatre))
         group.start_soon(_watch_shares, theatre, seen)
         for _ in range(4):
             await pause(theatre, 1_500)
@@ -123,21 +129,23 @@
     await open_up(theatre)
     async with anyio.create_task_group() as group:
         group.start_soon(theatre.call, 20_000, 0.5)
-        await theatre.insist(_plan())
+        await theatre.insist(_plan(theatre))
         await _until(theatre, "shifting", 8_000, share=0.25)
-        await theatre.insist(_plan("paused"))
+        await theatre.insist(_plan(theatre, "paused"))
         await theatre.outside.sleep(1_500)
         held = _standing(theatre)
         await theatre.outside.sleep(3_000)
         expect(theatre, _standing(theatre) == held, f"paused at {held}, now {_standing(theatre)}")
-        await theatre.insist(_plan())
+        await theatre.insist(_plan(theatre))
         await _until(theatre, "shifting", 5_000, share=held[1] + 0.125)
-        await theatre.insist(_plan("abandoned"))
+        await theatre.insist(_plan(theatre, "abandoned"))
         await _until(theatre, "returned", 15_000)
     backMs = theatre.nowMs()
     await theatre.call(2_000, 1.0, "-back")
-    expect(theatre, _runs_since(theatre, f"{_ARRIVING}-i1", backMs) == 0, "nothing more for the arriving runner")
-    expect(theatre, _runs_since(theatre, f"{_LEAVING}-i1", backMs) > 0, "the old runner serves again")
+    expect(
+        theatre, _runs_since(theatre, f"{_arriving(theatre)}-i1", backMs) == 0, "nothing more for the arriving runner"
+    )
+    expect(theatre, _runs_since(theatre, f"{_leaving(theatre)}-i1", backMs) > 0, "the old runner serves again")
     await close_up(theatre)
 
 
@@ -145,17 +153,17 @@
 async def plan_met_by_failure(theatre: Theatre) -> None:
     """The arriving runner comes late, and the leaving one dies before it was drained."""
     await open_up(theatre)
-    shown = theatre.platform.points.pop(f"{_ARRIVING}-i1")
+    shown = theatre.platform.points.pop(f"{_arriving(theatre)}-i1")
     async with anyio.create_task_group() as group:
         group.start_soon(theatre.call, 20_000, 1.0)
-        await theatre.insist(_plan())
+        await theatre.insist(_plan(theatre))
         await theatre.outside.sleep(3_000)
         expect(theatre, _standing(theatre)[0] in ("waiting", "none"), f"waits for the runner: {_standing(theatre)}")
-        theatre.platform.points[f"{_ARRIVING}-i1"] = shown
+        theatre.platform.points[f"{_arriving(theatre)}-i1"] = shown
         await _until(theatre, "shifting", 5_000, share=0.25)
-        theatre.kill(f"{_LEAVING}-i1")
+        theatre.kill(f"{_leaving(theatre)}-i1")
         await pause(theatre, 1_000)
-        theatre.platform.remove(f"{_LEAVING}-i1")
+        theatre.platform.remove(f"{_leaving(theatre)}-i1")
         await _until(theatre, "done", 16_000)
     await close_up(theatre)
 
@@ -164,8 +172,13 @@
 async def plan_overlap(theatre: Theatre) -> None:
     """A second plan that shares a runner with the first is refused with the reason, and nothing changes."""
     await open_up(theatre)
-    await theatre.insist(_plan("paused"))
-    other = {"leaving": [_LEAVING], "arriving": ["village-r2"], "bindings": [], "step": "running"}
+    await theatre.insist(_plan(theatre, "paused"))
+    other = {
+        "leaving": [_leaving(theatre)],
+        "arriving": [theatre.deployment.runner_names()[1]],
+        "bindings": [],
+        "step": "running",
+    }
     base = theatre.newest()
     refused = await theatre.change(base, {"edits": [{"kind": "plans", "name": "other", "value": other}]})
     expect(theatre, refused.status == 422, f"the overlapping plan is {refused.status}")
--- a/src/finchswitch/rehearsal/sweep.py
+++ b/src/finchswitch/rehearsal/sweep.py
@@ -10,7 +10,7 @@
     scenes_runners,
 )
 from finchswitch.rehearsal.checkers import judge
-from finchswitch.rehearsal.deployments import CORE, VILLAGE
+from finchswitch.rehearsal.deployments import CORE, VILLAGE, Deployment
 from finchswitch.rehearsal.history import History
 from finchswitch.rehearsal.play import play
 from finchswitch.rehearsal.scenes import SCENES
@@ -28,10 +28,10 @@
     return lines + [f"not as expected: {what}" for what in unmet]
 
 
-def perform(name: str, seed: int) -> tuple[History, list[str]]:
-    """One scene under one seed."""
+def perform(name: str, seed: int, deployment: Deployment = VILLAGE) -> tuple[History, list[str]]:
+    """One scene under one seed; storms on the core have no deployment."""
     if name in STORMS:
         history = play(STORMS[name], CORE, seed)
     else:
-        history = play(SCENES[name], VILLAGE, seed)
+        history = play(SCENES[name], deployment, seed)
     return history, faults_of(history)
--- a/src/finchswitch/rehearsal/world.py
+++ b/src/finchswitch/rehearsal/world.py
@@ -18,7 +18,7 @@
 from hypercorn.typing import ConnectionState
 from hypercorn.utils import wrap_app
 
-from finchswitch.constants import STOP_MOST_MS
+from finchswitch.constants import ANSWER_LONGEST_MS, CALLER_STILL_MS
 from finchswitch.rehearsal.machine import Machine
 from finchswitch.rehearsal.net import Net, SimListener, SimStream, host_of
 from finchswitch.wire.client import Proof, make_transport
@@ -125,7 +125,7 @@
             await listener.aclose()
             self._machine.listeners.pop(address, None)
             await context.terminated.set()
-            group.cancel_scope.deadline = anyio.current_time() + STOP_MOST_MS / 1000
+            group.cancel_scope.deadline = anyio.current_time() + (ANSWER_LONGEST_MS + CALLER_STILL_MS) / 1000
 
     def http_transport(self, proof: Proof | None = None) -> httpx.AsyncBaseTransport:
         return make_transport(self, proof)
--- a/src/finchswitch/transit/call.py
+++ b/src/finchswitch/transit/call.py
@@ -89,19 +89,22 @@
     number, opening = 0, prompt.opening
     ticket = Ticket(prompt.requestId, prompt.repeatable, prompt.service, opening.digest, drawn.runner.runner)
     try:
-        async with aclosing(pieces_of(known, prompt, ticket, dueMs * FIRST_WAIT_SHARE)) as pieces:
-            async for piece in pieces:
-                if number == 0:
-                    seat.begun(piece.weights)
-                    await _start(send, prompt, drawn, piece, ticket)
-                number += 1
-                content = piece.content
-                if piece.last:
-                    content = {**content, "outcome": Fate.COMPLETE.value, "request_id": prompt.requestId}
-                await _event(send, f"id: {number}\ndata: {json.dumps(content, separators=(',', ':'))}\n\n")
-    except TryMishap as mishap:
+        with anyio.fail_after(node.creed().settings.answerMostMs / 1000):
+            async with aclosing(pieces_of(known, prompt, ticket, dueMs * FIRST_WAIT_SHARE)) as pieces:
+                async for piece in pieces:
+                    if number == 0:
+                        seat.begun(piece.weights)
+                        await _start(send, prompt, drawn, piece, ticket)
+                    number += 1
+                    content = piece.content
+                    if piece.last:
+                        content = {**content, "outcome": Fate.COMPLETE.value, "request_id": prompt.requestId}
+                    await _event(send, f"id: {number}\ndata: {json.dumps(content, separators=(',', ':'))}\n\n")
+    except (TryMishap, TimeoutError) as ended:
+        longest = TryMishap(Fate.UNKNOWN, "stream", known.runner, "longer than answerMostMs allows")
+        mishap = ended if isinstance(ended, TryMishap) else longest
         if number == 0:
-            raise
+            raise mishap from None
         _log.warning("A stream broke after {} pieces. {}", number, mishap)
         node.vitals["broken"] += 1
         error = {"message": mishap.reason, "type": mishap.step, "outcome": Fate.UNKNOWN.value}
--- a/src/finchswitch/transit/prompt.py
+++ b/src/finchswitch/transit/prompt.py
@@ -7,11 +7,12 @@
 from dataclasses import dataclass
 from typing import Any
 
+import anyio
 from returns.result import Failure, Result, Success
 from starlette.requests import ClientDisconnect, Request
 
 from finchswitch.affinity import Opening, opening_of
-from finchswitch.constants import BODY_MOST_BYTES, DUE_LEAST_MS, DUE_MOST_MS, REQUEST_ID_MOST
+from finchswitch.constants import BODY_MOST_BYTES, CALLER_STILL_MS, DUE_LEAST_MS, DUE_MOST_MS, REQUEST_ID_MOST
 
 __all__ = ["Prompt", "Refusal", "read_prompt"]
 
@@ -36,12 +37,15 @@
     """The prompt, or why it is refused."""
     body = b""
     try:
-        async for part in request.stream():
-            body += part
-            if len(body) > BODY_MOST_BYTES:
-                return Failure(Refusal(413, f"the body is over {BODY_MOST_BYTES} bytes"))
+        with anyio.fail_after(CALLER_STILL_MS / 1000):
+            async for part in request.stream():
+                body += part
+                if len(body) > BODY_MOST_BYTES:
+                    return Failure(Refusal(413, f"the body is over {BODY_MOST_BYTES} bytes"))
     except ClientDisconnect:
         return Failure(Refusal(400, "the body was cut"))
+    except TimeoutError:
+        return Failure(Refusal(408, f"the body did not come within {CALLER_STILL_MS} ms"))
     return check_prompt(dict(request.headers), body, fresh_id)
 
 
--- a/src/finchswitch/wire/real.py
+++ b/src/finchswitch/wire/real.py
@@ -1,6 +1,7 @@
 """The real machine: TCP sockets, the system's clock that counts sleep, hypercorn for HTTP."""
 
 import logging
+import socket
 import time
 from random import Random
 from typing import Any
@@ -11,7 +12,7 @@
 from hypercorn.config import Config
 from hypercorn.trio import serve
 
-from finchswitch.constants import STOP_MOST_MS
+from finchswitch.constants import ANSWER_LONGEST_MS, CALLER_STILL_MS
 from finchswitch.wire.client import Proof, make_transport
 from finchswitch.wire.world import Listener
 
@@ -41,9 +42,23 @@
         await self._listener.aclose()
 
 
+def _listening(address: str, stillMs: int) -> socket.socket:
+    """A bound socket whose connections the kernel closes when the other end takes nothing for so long."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, stillMs)
+    try:
+        sock.bind(split_address(address))
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
 class RealWorld:
-    def __init__(self, seed: int | None = None) -> None:
-        self.chance = Random(seed)
+    def __init__(self, seed: int | None = None, stillMs: int = CALLER_STILL_MS) -> None:
+        self.chance, self.stillMs = Random(seed), stillMs
 
     def nowMs(self) -> float:
         return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000
@@ -68,8 +83,8 @@
 
     async def serve_http(self, app: Any, address: str, stop: anyio.Event) -> None:
         config = Config()
-        config.bind = [address]
-        config.graceful_timeout = STOP_MOST_MS / 1000
+        config.bind = [f"fd://{_listening(address, self.stillMs).detach()}"]
+        config.graceful_timeout = (ANSWER_LONGEST_MS + CALLER_STILL_MS) / 1000
         config.keep_alive_timeout = 30
         config.accesslog, config.errorlog = None, logging.getLogger("hypercorn.quiet")
         await serve(app, config, shutdown_trigger=stop.wait, mode="asgi")
