--- a/src/finchswitch/affinity/__init__.py
+++ b/src/finchswitch/affinity/__init__.py
@@ -5,7 +5,7 @@
 """
 
 from finchswitch.affinity.beliefs import Beliefs
-from finchswitch.affinity.burden import Burdens, Load
+from finchswitch.affinity.burden import Burdens
 from finchswitch.affinity.draw import Choices, Drawn, Draws, Seatable, Way, owners
 from finchswitch.affinity.homes import home_order
 from finchswitch.affinity.opening import Opening, opening_of
@@ -17,7 +17,6 @@
     "Choices",
     "Drawn",
     "Draws",
-    "Load",
     "Opening",
     "Popularity",
     "Seatable",
--- a/src/finchswitch/affinity/draw.py
+++ b/src/finchswitch/affinity/draw.py
@@ -43,7 +43,6 @@
     opening: Opening
     way: Way
     prefillTokens: int
-    plainMs: float
     firstMs: float
 
 
@@ -66,15 +65,14 @@
 
     def estimate(self, opening: Opening, runner: Seatable, way: Way, nowMs: float) -> Drawn:
         """When the first token would come: waiting for a slot, others' prefill, then this prompt's own."""
-        load = self._burdens.of(runner.incarnation, nowMs)
+        seats = self._burdens.seats(runner.incarnation, nowMs)
         cold = not self._beliefs.holds(runner.incarnation, opening.digest, nowMs)
         tokens = opening.ownTokens + (opening.openingTokens if cold else 0)
-        waiting = max(0.0, load.seats + 1 - runner.slots)
+        waiting = max(0.0, seats + 1 - runner.slots)
         waitMs = waiting * self._burdens.seatMs(runner.incarnation) / runner.slots
-        prefillMs = 1000 * (load.prefillTokens + tokens) / runner.prefillTokensPerS
-        plainMs = waitMs + prefillMs
-        firstMs = plainMs * self._burdens.pace(runner.incarnation, nowMs)
-        return Drawn(runner, opening, way, tokens, plainMs, firstMs)
+        msAToken, pace = 1000 / runner.prefillTokensPerS, self._burdens.pace(runner.incarnation, nowMs)
+        backlogMs = self._burdens.backlogMs(runner.incarnation, msAToken * pace, nowMs)
+        return Drawn(runner, opening, way, tokens, (waitMs + tokens * msAToken) * pace + backlogMs)
 
     def draw(self, opening: Opening, choices: Choices, dueMs: float, nowMs: float) -> Drawn | None:
         """A runner for the prompt, or None when none can be timely."""
@@ -116,7 +114,7 @@
         return min(spilled, key=lambda each: each.firstMs)
 
     def _share(self, runner: Seatable, nowMs: float) -> float:
-        return self._burdens.of(runner.incarnation, nowMs).seats / runner.slots
+        return self._burdens.seats(runner.incarnation, nowMs) / runner.slots
 
 
 def owners(digest: str, before: list[str], after: list[str], share: float) -> list[str]:
--- a/src/finchswitch/constants.py
+++ b/src/finchswitch/constants.py
@@ -79,12 +79,13 @@
 CHARS_A_TOKEN: Final = 4  # rough length of a token, for prefill estimates
 PREFILL_TOKENS_A_S: Final = 8_000  # default speed of prefill, until the configuration says otherwise
 SECOND_HOMES: Final = 2  # further homes tried past an overloaded one; few, so that an opening does not smear
+HEAD_SAME_MS: Final = 50  # two grants nearer than this are the same seat, told over differing ways
 SEAT_MS: Final = 2_000  # how long a seat is thought to last before any was seen
 PACE_SHARE: Final = 0.2  # weight of the newest first token in a runner's pace; a few suffice to see it slow
 PACE_HALF_MS: Final = 3_000  # a runner that gets no work because it was slow is tried again soon
 PACE_MOST: Final = 20.0  # a pace past this says no more; also bounds what one late answer can do
 PACE_TOLD: Final = 1.2  # a pace under this is not worth telling peers
-PACE_LEAST_MS: Final = 100.0  # shorter estimates say little of pace: connection and scheduling weigh as much
+PACE_LEAST_MS: Final = 400.0  # shorter ones say little of pace: a peer's prefill may be untold for a beat or two
 SMOOTH_SHARE: Final = 0.1  # weight of the newest observation in a running mean
 REPORT_TRUST_SHARE: Final = 0.5  # weight of a late report's excess over what the nodes themselves know
 
--- a/src/finchswitch/kinship/member.py
+++ b/src/finchswitch/kinship/member.py
@@ -224,7 +224,7 @@
         """A peer's answer to a beat; it counts from the moment that beat was sent."""
         check_beat(beat)
         name = beat["name"]
-        self.peers[name] = beat
+        self.peers[name] = {**beat, "heardMs": askedMs}
         self.heardMs[name] = max(self.heardMs.get(name, _NEVER), askedMs)
 
     def meet_peer(self, beat: Message) -> None:
--- a/src/finchswitch/kinship/word.py
+++ b/src/finchswitch/kinship/word.py
@@ -16,7 +16,7 @@
     "district": str,
     "incarnation": str,
     "generations": {"": int},
-    "burden": {"": (_NUMBER, _NUMBER)},
+    "burden": {"": (_NUMBER, [(_NUMBER, _NUMBER)])},
     "pace": {"": _NUMBER},
     "held": {"": (str, [str])},
     "leaving": [str],
--- a/src/finchswitch/rehearsal/scenes_load.py
+++ b/src/finchswitch/rehearsal/scenes_load.py
@@ -140,7 +140,7 @@
     for name in transits(theatre):
         node_now = theatre.actors[name].node
         assert node_now is not None
-        expect(theatre, not node_now.underway and not node_now.burdens.spoken(), f"{name} holds no seat any more")
+        expect(theatre, not node_now.underway and not node_now.burdens.spoken(0.0), f"{name} holds no seat any more")
     running = sum(not run.whole and run.pieces == 60 for runner in theatre.runners.values() for run in runner.runs)
     expect(theatre, running == 0, f"{running} runs went on")
     await close_up(theatre)
--- a/src/finchswitch/transit/doors.py
+++ b/src/finchswitch/transit/doors.py
@@ -59,7 +59,7 @@
             "runner": known.runner,
             "address": known.address,
             "state": known.walker.state.value,
-            "seats": node.burdens.of(known.incarnation, nowMs).seats,
+            "seats": node.burdens.seats(known.incarnation, nowMs),
             "weights": node.beliefs.weights(known.incarnation),
             "openings": node.beliefs.counts().get(known.incarnation, 0),
         }
--- a/src/finchswitch/transit/duties.py
+++ b/src/finchswitch/transit/duties.py
@@ -136,7 +136,7 @@
         plan, held = self._node.creed().plans[name], self._node.plan_state(name)
         up = self._node.roster.up()
         seats = sum(
-            self._node.burdens.of(known.incarnation, nowMs).seats
+            self._node.burdens.seats(known.incarnation, nowMs)
             for known in self._node.roster.known.values()
             if known.runner in plan.leaving
         )
--- a/src/finchswitch/transit/node.py
+++ b/src/finchswitch/transit/node.py
@@ -169,9 +169,9 @@
         """What this node adds to its beats to peers."""
         nowMs = self.world.nowMs()
         return {
-            "burden": self.burdens.spoken(),
+            "burden": self.burdens.spoken(nowMs),
             "held": self.beliefs.spoken(nowMs),
-            "pace": self.burdens.spoken_pace(nowMs),
+            "pace": self.burdens.paces.spoken(nowMs),
             "leaving": self.roster.leaving(),
             "listAgeMs": self.roster.listAgeMs(),
             "counts": self.called(),
@@ -183,5 +183,5 @@
         self.roster.hear_peer(beat["leaving"], beat["listAgeMs"])
         self.duties.hear(beat["vitals"])
         heard = self.member.heard_peers()
-        self.burdens.hear_peers(heard)
+        self.burdens.hear_peers(heard, self.world.nowMs())
         self.beliefs.hear_peers(heard)
--- a/src/finchswitch/transit/seat.py
+++ b/src/finchswitch/transit/seat.py
@@ -28,28 +28,23 @@
         self._world, self._drawn, self._burdens, self._beliefs = world, drawn, burdens, beliefs
         self._walker = Walker(_CHART, drawn.runner.runner)
         self._grantedMs = world.nowMs()
-        burdens.take(drawn.runner.incarnation, drawn.prefillTokens)
+        msAToken = 1000 / drawn.runner.prefillTokensPerS
+        burdens.take(self, drawn.runner.incarnation, drawn.prefillTokens, msAToken, self._grantedMs)
         beliefs.granted(drawn.runner.incarnation, drawn.opening)
-        burdens.await_first(self, drawn.runner.incarnation, drawn.plainMs, self._grantedMs)
 
     def begun(self, weights: str) -> None:
         """The first piece came: the runner holds the opening now, under these weights."""
         self._walker.take(SeatEvent.BEGIN)
         incarnation, nowMs = self._drawn.runner.incarnation, self._world.nowMs()
-        self._burdens.no_wait(self, incarnation)
-        self._burdens.saw_first(incarnation, self._drawn.plainMs, nowMs - self._grantedMs, nowMs)
-        self._burdens.begun(incarnation, self._drawn.prefillTokens)
+        self._burdens.begun(self, incarnation, nowMs)
         self._beliefs.answered(incarnation, weights)
         self._beliefs.settled(incarnation, self._drawn.opening.digest)
         self._beliefs.sent(incarnation, self._drawn.opening.digest, nowMs)
 
     def free(self) -> None:
         incarnation, nowMs = self._drawn.runner.incarnation, self._world.nowMs()
-        self._burdens.no_wait(self, incarnation)
+        self._burdens.begun(self, incarnation, nowMs)
         if self._walker.state is SeatState.GRANTED:
             self._beliefs.settled(incarnation, self._drawn.opening.digest)
-            self._burdens.begun(incarnation, self._drawn.prefillTokens)
-            if nowMs - self._grantedMs > self._drawn.firstMs:
-                self._burdens.saw_first(incarnation, self._drawn.plainMs, nowMs - self._grantedMs, nowMs)
         self._walker.take(SeatEvent.FREE)
-        self._burdens.free(incarnation, nowMs - self._grantedMs)
+        self._burdens.free(incarnation, self._drawn.opening.service, nowMs - self._grantedMs)
--- a/tests/test_affinity.py
+++ b/tests/test_affinity.py
@@ -53,7 +53,7 @@
         assert draw(draws, opening("o")).runner.runner == name
         assert draw(draws, opening("o")).way is (Way.HOME if at == 0 else Way.SPILL)
         for _ in range(9):
-            burdens.take(f"{name}-i1", 0)
+            burdens.take(object(), f"{name}-i1", 0, 0.0, 0.0)
     assert draw(draws, opening("o")).runner.runner in order[:3]
 
 
@@ -68,11 +68,11 @@
 def test_a_late_home_gives_way_to_a_timely_runner_or_nobody(parts):
     _, burdens, draws = parts
     home = home_order("o", NAMES)[0]
-    burdens.take(f"{home}-i1", 9_000)
+    burdens.take(object(), f"{home}-i1", 9_000, 1.0, 0.0)
     drawn = draw(draws, opening("o"), dueMs=1_000)
     assert drawn.way is Way.TIMELY and drawn.runner.runner != home
     for each in RUNNERS:
-        burdens.take(each.incarnation, 9_000)
+        burdens.take(object(), each.incarnation, 9_000, 1.0, 0.0)
     assert draw(draws, opening("o"), dueMs=1_000) is None
 
 
@@ -103,7 +103,27 @@
 
 def test_a_late_report_is_discounted():
     burdens = Burdens()
-    burdens.take("i", 0)
+    burdens.take(object(), "i", 0, 0.0, 0.0)
     burdens.report("i", 11.0, 0.0)
-    assert burdens.of("i", 1_000.0).seats == pytest.approx(6.0)
-    assert burdens.of("i", 9_000.0).seats == pytest.approx(1.0)
+    assert burdens.seats("i", 1_000.0) == pytest.approx(6.0)
+    assert burdens.seats("i", 9_000.0) == pytest.approx(1.0)
+
+
+def test_waiting_behind_a_prefill_told_later_does_not_make_a_runner_look_slow():
+    burdens = Burdens()
+    burdens.take(object(), "i", 30, 0.125, 100.0)
+    beat = {"heardMs": 300.0, "pace": {}, "burden": {"i": [1, [[250.0, 13_000]]]}}
+    burdens.hear_peers([beat], 300.0)
+    assert burdens.pace("i", 1_500.0) == 1.0
+    assert burdens.backlogMs("i", 0.125, 1_500.0) == pytest.approx(50 + 13_030 * 0.125 - 1_500)
+    assert burdens.pace("i", 3_300.0) == pytest.approx(2.0, abs=0.01)
+
+
+def test_a_runner_that_came_to_the_next_prompt_has_the_rest_before_it():
+    burdens = Burdens()
+    beat = {"heardMs": 100.0, "pace": {}, "burden": {"i": [2, [[100.0, 8_000], [90.0, 8_000]]]}}
+    burdens.hear_peers([beat], 100.0)
+    assert burdens.backlogMs("i", 0.125, 900.0) == pytest.approx(1_100.0)
+    later = {"heardMs": 1_100.0, "pace": {}, "burden": {"i": [1, [[1_090.0, 8_000]]]}}
+    burdens.hear_peers([later], 1_100.0)
+    assert burdens.backlogMs("i", 0.125, 1_200.0) == pytest.approx(900.0)
--- a/tests/test_doors.py
+++ b/tests/test_doors.py
@@ -87,9 +87,9 @@
         async with httpx.AsyncClient(transport=theatre.outside.http_transport()) as client:
             async with client.stream("POST", "http://10.0.1.1:8000/v1/chat/completions", json=body) as answer:
                 assert answer.status_code == 200
-                assert node.underway and node.burdens.spoken()
+                assert node.underway and node.burdens.spoken(0.0)
         await theatre.outside.sleep(500)
-        assert not node.underway and not node.burdens.spoken()
+        assert not node.underway and not node.burdens.spoken(0.0)
         assert [run.pieces < 100 for runner in theatre.runners.values() for run in runner.runs] == [True]
 
     staged(scene)
--- a/tests/test_long_answers.py
+++ b/tests/test_long_answers.py
@@ -57,7 +57,7 @@
             await call_once(theatre.outside, client, "10.0.1.1:8000", traffic, body, call)
         assert (call.outcome, call.done) == ("unknown", False) and 9 <= len(call.pieces) <= 10
         assert "answerMostMs" in call.reason
-        assert not theatre.actors["transit1"].node.burdens.spoken()
+        assert not theatre.actors["transit1"].node.burdens.spoken(0.0)
 
     staged(scene)
 
@@ -69,9 +69,9 @@
         stream = await theatre.outside.dial("10.0.1.1:8000", 500)
         await stream.send(asking(2_000))
         await theatre.outside.sleep(20_000)
-        assert node.burdens.spoken(), "it has not been given up yet"
+        assert node.burdens.spoken(0.0), "it has not been given up yet"
         await theatre.outside.sleep(40_000)
-        assert not node.burdens.spoken() and not node.underway
+        assert not node.burdens.spoken(0.0) and not node.underway
         half = await theatre.outside.dial("10.0.1.1:8000", 500)
         await half.send(asking(5)[:-3])
         await theatre.outside.sleep(1_000)
--- a/tests/test_runner_ends.py
+++ b/tests/test_runner_ends.py
@@ -84,7 +84,7 @@
         async with httpx.AsyncClient(transport=theatre.outside.http_transport()) as client:
             body = traffic.body(theatre.chance, 1)
             await call_once(theatre.outside, client, "10.0.1.1:8000", traffic, body, call)
-        assert not theatre.actors["transit1"].node.burdens.spoken()
+        assert not theatre.actors["transit1"].node.burdens.spoken(0.0)
 
     staged(scene)
     call = calls[0]
