A test's two seats were nearer than what counts as one

Cause: their grants lay 10 ms apart, under the 50 ms by which one seat told over two ways is known. Ruled out: the code, which counts such seats as one on purpose. Before: the test fails; after: it passes.

--- a/tests/test_affinity.py
+++ b/tests/test_affinity.py
@@ -121,9 +121,9 @@
 
 def test_a_runner_that_came_to_the_next_prompt_has_the_rest_before_it():
     burdens = Burdens()
-    beat = {"heardMs": 100.0, "pace": {}, "burden": {"i": [2, [[100.0, 8_000], [90.0, 8_000]]]}}
+    beat = {"heardMs": 100.0, "pace": {}, "burden": {"i": [2, [[100.0, 8_000], [20.0, 8_000]]]}}
     burdens.hear_peers([beat], 100.0)
     assert burdens.backlogMs("i", 0.125, 900.0) == pytest.approx(1_100.0)
-    later = {"heardMs": 1_100.0, "pace": {}, "burden": {"i": [1, [[1_090.0, 8_000]]]}}
+    later = {"heardMs": 1_100.0, "pace": {}, "burden": {"i": [1, [[1_020.0, 8_000]]]}}
     burdens.hear_peers([later], 1_100.0)
     assert burdens.backlogMs("i", 0.125, 1_200.0) == pytest.approx(900.0)
