An opening is hot when one home is too little for it; measure tells warm from cold

Cause: hot by share of prompts copied long openings that a tenth of a home carries. Ruled out: no hot set (one opening may outgrow its home), halving in 10 s (too late for a crowd). Conclusion: copies only where a home is too little; both rules of the design stay.

--- a/src/finchswitch/affinity/popularity.py
+++ b/src/finchswitch/affinity/popularity.py
@@ -1,9 +1,13 @@
 """Popularity: decayed counts of openings, and the small hot set chosen from them with hysteresis.
 
-Counts halve with time. When the table is full the least counted goes, so openings seen once come and go without
-pushing out hot ones. An opening becomes hot at one share of its service's prompts and stops at a lower one.
+Each prompt counts with what it takes of a home: the larger of its own prefill and its seat, as time for which one
+runner's prefill or slots would be busy with it. So what is counted is the share of one home that an opening needs. An
+opening becomes hot when one home would be too little for it, and stops at a lower share. Counts halve with time. When
+the table is full the least counted goes, so openings seen once come and go without pushing out hot ones.
 """
 
+import math
+
 from finchswitch.constants import COUNTS_MOST, HOT_HALF_MS
 
 __all__ = ["Popularity", "pick_hot"]
@@ -22,36 +26,33 @@
         if passedMs < HOT_HALF_MS / 100:
             return
         factor = 0.5 ** (passedMs / HOT_HALF_MS)
-        self._counts = {digest: count * factor for digest, count in self._counts.items() if count * factor > 0.01}
+        self._counts = {digest: count * factor for digest, count in self._counts.items() if count * factor > 0.001}
         self._total *= factor
         self._atMs = nowMs
 
-    def count(self, digest: str, nowMs: float) -> None:
+    def count(self, digest: str, homeMs: float, nowMs: float) -> None:
+        """A prompt that keeps a home busy for so long."""
         self._decay(nowMs)
         if digest not in self._counts and len(self._counts) >= COUNTS_MOST:
             del self._counts[min(self._counts, key=self._counts.__getitem__)]
-        self._counts[digest] = self._counts.get(digest, 0.0) + 1.0
+        self._counts[digest] = self._counts.get(digest, 0.0) + homeMs
         self._total += 1.0
 
     def top(self, most: int, nowMs: float) -> tuple[float, dict[str, float]]:
-        """The total and the highest counts."""
+        """How many prompts were counted, and the highest shares of a home that openings need."""
         self._decay(nowMs)
         highest = sorted(self._counts.items(), key=lambda item: (-item[1], item[0]))[:most]
-        return self._total, {digest: round(count, 3) for digest, count in highest}
+        return self._total, {digest: round(count * math.log(2) / HOT_HALF_MS, 5) for digest, count in highest}
 
 
-def pick_hot(
-    total: float, counts: dict[str, float], held: list[str], most: int, enterShare: float, leaveShare: float
-) -> list[str]:
-    """The hot set that follows from counts and the one held before.
+def pick_hot(shares: dict[str, float], held: list[str], most: int, enterShare: float, leaveShare: float) -> list[str]:
+    """The hot set that follows from the shares of a home that openings need, and from the set held before.
 
-    >>> pick_hot(100, {"a": 40, "b": 15, "c": 14}, ["c"], 4, 0.25, 0.12)
+    >>> pick_hot({"a": 0.8, "b": 0.3, "c": 0.25}, ["c"], 4, 0.4, 0.2)
     ['a', 'c']
-    >>> pick_hot(100, {"a": 40, "b": 30}, [], 1, 0.25, 0.12)
-    ['a']
+    >>> pick_hot({"a": 0.5, "b": 0.6}, [], 1, 0.4, 0.2)
+    ['b']
     """
-    if total <= 0:
-        return held
-    bars = {digest: leaveShare if digest in held else enterShare for digest in counts}
-    hot = [digest for digest, count in counts.items() if count / total >= bars[digest]]
-    return sorted(sorted(hot, key=lambda digest: (-counts[digest], digest))[:most])
+    bars = {digest: leaveShare if digest in held else enterShare for digest in shares}
+    hot = [digest for digest, share in shares.items() if share >= bars[digest]]
+    return sorted(sorted(hot, key=lambda digest: (-shares[digest], digest))[:most])
--- a/src/finchswitch/constants.py
+++ b/src/finchswitch/constants.py
@@ -65,10 +65,10 @@
 PLAN_STEP_SHARE: Final = 0.125  # of all openings moved by one step
 
 # Affinity
-HOT_HALF_MS: Final = 10_000  # popularity halves in this time (ours)
+HOT_HALF_MS: Final = 5_000  # popularity halves in this time (ours); a crowd must show before its home is full
 HOT_MOST: Final = 4  # openings in a service's hot set (ours); small, as the source has it
-HOT_ENTER_SHARE: Final = 0.25  # share of a service's prompts at which an opening becomes hot (ours)
-HOT_LEAVE_SHARE: Final = 0.12  # and below which it stops (hysteresis, ours)
+HOT_ENTER_SHARE: Final = 0.4  # of what one home can carry, at which an opening becomes hot (ours)
+HOT_LEAVE_SHARE: Final = 0.2  # and below which it stops (hysteresis, ours)
 COUNTS_MOST: Final = 512  # openings counted a service; bounded memory
 BELIEF_MS: Final = 120_000  # how long a prompt sent is believed kept (ours)
 TOLD_TOKENS: Final = 1_000  # openings from this size are told to peers; smaller ones cost less than the telling
@@ -114,7 +114,8 @@
 TRIES_SHARE_MOST: Final = 0.2  # the brief's fifth
 SPILL_SHARE_LEAST: Final = 0.1  # below it every home would spill at once
 HOT_SET_MOST: Final = 64  # openings; more is no longer a small set
-HOT_SHARE_LEAST: Final = 0.01  # of a service's prompts; rarer openings are not popular
+HOT_SHARE_LEAST: Final = 0.01  # of one home; what needs less is not popular
+HOT_SHARE_MOST: Final = 1.0  # of one home; past it an opening has outgrown its home for certain
 SLOTS_MOST: Final = 10_000  # of a runner; more is a mistake
 PREFILL_MOST_TOKENS_A_S: Final = 10_000_000  # of a runner; more is a mistake
 
--- a/src/finchswitch/creed/check.py
+++ b/src/finchswitch/creed/check.py
@@ -19,6 +19,7 @@
     DUE_MOST_MS,
     HOT_SET_MOST,
     HOT_SHARE_LEAST,
+    HOT_SHARE_MOST,
     PREFILL_MOST_TOKENS_A_S,
     SLOTS_MOST,
     SPILL_SHARE_LEAST,
@@ -116,7 +117,7 @@
     for name, service in creed.services.items():
         _range(wrong, f"services.{name}.dueMs", service.dueMs, DUE_LEAST_MS, DUE_MOST_MS)
         _range(wrong, f"services.{name}.hotMost", service.hotMost, 0, HOT_SET_MOST)
-        _range(wrong, f"services.{name}.hotEnterShare", service.hotEnterShare, HOT_SHARE_LEAST, 1)
+        _range(wrong, f"services.{name}.hotEnterShare", service.hotEnterShare, HOT_SHARE_LEAST, HOT_SHARE_MOST)
         _range(wrong, f"services.{name}.hotLeaveShare", service.hotLeaveShare, 0, service.hotEnterShare)
     for name, runner in creed.runners.items():
         _range(wrong, f"runners.{name}.slots", runner.slots, 1, SLOTS_MOST)
--- a/src/finchswitch/programs/cli.py
+++ b/src/finchswitch/programs/cli.py
@@ -124,12 +124,13 @@
     hot_most: Annotated[int | None, typer.Option(help="Size of the hot set.")] = None,
     spill_share: Annotated[float | None, typer.Option(help="Burden past which a home spills.")] = None,
     belief_ms: Annotated[float | None, typer.Option(help="Age past which a belief is dropped.")] = None,
+    cache_tokens: Annotated[int | None, typer.Option(help="What each stand-in runner keeps.")] = None,
 ) -> None:
     """Measure a way to draw in virtual time; prints one line of JSON."""
     from finchswitch.programs.rehearse import run_measure
     from finchswitch.rehearsal.measure import Trial
 
-    trial = Trial(deployment, condition, draw, seed, seconds, hot_most, spill_share, belief_ms)
+    trial = Trial(deployment, condition, draw, seed, seconds, hot_most, spill_share, belief_ms, cache_tokens)
     raise typer.Exit(run_measure(trial))
 
 
--- a/src/finchswitch/rehearsal/measure.py
+++ b/src/finchswitch/rehearsal/measure.py
@@ -30,6 +30,8 @@
     hotMost: int | None = None
     spillShare: float | None = None
     beliefMs: float | None = None
+    cacheTokens: int | None = None  # of each runner
+    warmS: int = 8  # calls asked from then on are counted as warm
 
 
 def measure(trial: Trial) -> dict[str, Any]:
@@ -39,7 +41,7 @@
         await _conduct(theatre, trial)
 
     history = play(scene, _deployment(trial), trial.seed)
-    return {**vars(trial), **_figures(history), "breaches": sorted(judge(history))}
+    return {**vars(trial), **_figures(history, trial), "breaches": sorted(judge(history))}
 
 
 def _deployment(trial: Trial) -> Deployment:
@@ -52,6 +54,9 @@
 
 async def _conduct(theatre: Theatre, trial: Trial) -> None:
     creed = theatre.deployment.creed()
+    if trial.cacheTokens is not None:
+        for runner in theatre.runners.values():
+            runner.traits.cacheTokens = trial.cacheTokens
     for service in creed["services"].values():
         service.update({} if trial.hotMost is None else {"hotMost": trial.hotMost})
     creed["settings"].update({} if trial.spillShare is None else {"spillShare": trial.spillShare})
@@ -82,8 +87,17 @@
     return RIVALS[name](*parts)
 
 
-def _figures(history: History) -> dict[str, Any]:
+def _figures(history: History, trial: Trial) -> dict[str, Any]:
+    """All calls, and those of the warm time by themselves; the floor has each opening prefilled once, all else kept."""
     report = make_report(history)
+    first = min(call.askedMs for call in history.calls)
+    warm = [call for call in history.calls if call.askedMs >= first + 1000 * trial.warmS]
+    began = {call.requestId for call in warm}
+    warm_runs = [run for run in history.runs if run.requestId in began]
+    tokens = {each.service: (each.openingTokens, each.ownTokens) for each in DEPLOYMENTS[trial.deployment].traffic}
+    floor = sum(run.prefillTokens if run.cached else run.prefillTokens - tokens[run.service][0] for run in history.runs)
+    warm_floor = sum(run.prefillTokens - (0 if run.cached else tokens[run.service][0]) for run in warm_runs)
+    once = sum(each.openings * each.openingTokens for each in DEPLOYMENTS[trial.deployment].traffic)
     runs = Counter(run.runner for run in history.runs)
     mean = sum(runs.values()) / max(1, len(runs))
     refused = sum(call.status == 429 or call.status == 503 for call in history.calls)
@@ -92,6 +106,15 @@
         "calls": len(history.calls),
         "hits": report["hit_share"],
         "prefill": report["prefill_tokens"],
+        "floor": floor + once,
+        "warm": {
+            "calls": len(warm),
+            "refused": sum(call.status in (429, 503) for call in warm),
+            "incomplete": sum(call.outcome != "complete" for call in warm),
+            "prefill": sum(run.prefillTokens for run in warm_runs),
+            "floor": warm_floor,
+            "firstMs": {name: each["first_ms"] for name, each in make_report(History(calls=warm))["services"].items()},
+        },
         "firstMs": firsts,
         "refused": refused,
         "complete": sum(call.outcome == "complete" for call in history.calls),
--- a/src/finchswitch/transit/duties.py
+++ b/src/finchswitch/transit/duties.py
@@ -115,14 +115,13 @@
 
     async def _merge_hot(self, key: str, name: str, fence: int) -> None:
         service, nowMs = self._node.creed().services[name], self._node.world.nowMs()
-        total, counts = self._node.popularity(name).top(4 * HOT_MOST, nowMs)
+        _, shares = self._node.popularity(name).top(4 * HOT_MOST, nowMs)
         for beat in self._node.member.heard_peers():
-            peerTotal, peerCounts = beat.get("counts", {}).get(name, (0.0, {}))
-            total += peerTotal
-            for digest, count in peerCounts.items():
-                counts[digest] = counts.get(digest, 0.0) + count
+            _, told = beat["counts"].get(name, (0.0, {}))
+            for digest, share in told.items():
+                shares[digest] = shares.get(digest, 0.0) + share
         held = self._node.hot(name)
-        hot = pick_hot(total, counts, held, service.hotMost, service.hotEnterShare, service.hotLeaveShare)
+        hot = pick_hot(shares, held, service.hotMost, service.hotEnterShare, service.hotLeaveShare)
         if hot != held:
             value = {"fence": fence, "openings": hot}
             await self._edit(key, self._fence(key), [{"kind": "hot", "name": name, "value": value}])
--- a/src/finchswitch/transit/node.py
+++ b/src/finchswitch/transit/node.py
@@ -94,8 +94,18 @@
         return {name: top for name, top in tops.items() if top[0] >= 1.0}
 
     def count_opening(self, opening: Opening) -> None:
-        if opening.service in self.creed().services:
-            self.popularity(opening.service).count(opening.digest, self.world.nowMs())
+        """Count a prompt by what it takes of a home, served or not: its own prefill, or its part of the slots."""
+        creed = self.creed()
+        bound = [
+            creed.runners[name]
+            for each in creed.bindings.values()
+            for name in each.runners
+            if each.service == opening.service
+        ]
+        if bound:
+            prefillMs = 1000 * opening.ownTokens / min(each.prefillTokensPerS for each in bound)
+            slotMs = self.burdens.serviceMs(opening.service) / min(each.slots for each in bound)
+            self.popularity(opening.service).count(opening.digest, max(prefillMs, slotMs), self.world.nowMs())
 
     def hot(self, service: str) -> list[str]:
         record = self.news.body(part_of(f"hot/{service}")).get("hot", {}).get(service)
