Each duty is done by itself; vitals are read over kept connections

Cause: duties one after another, each with its wait for a dark runner; a dial for each reading. Ruled out: shorter waits, which would miss slow runners. Conclusion: a key's wait is its own.

--- a/src/finchswitch/accord/change.py
+++ b/src/finchswitch/accord/change.py
@@ -150,19 +150,23 @@
         address = council.kindred.by_store[owner].address
         return await council.book.ask(address, "part.edit", {**body, "passed": True}, ACCEPT_WAIT_MS)
     register = council.registers[part]
-    document = register.document
-    if document is None:
-        raise Mishap.refused("edit", part, "owner has only just stood")
-    for guard in field(body, "guards", list):
-        held = document["body"].get(guard["kind"], {}).get(guard["name"])
-        if held != guard["value"]:
-            return {"taken": False, "held": held}
-    edited = apply_edits(document["body"], field(body, "edits", list))
-    if isinstance(edited, Failure):
-        raise Mishap.refused("edit", part, "; ".join(edited.failure()))
-    await register.commit(document, succeed(document, edited.unwrap(), None, document["group"]))
-    council.announce(part)
-    return {"taken": True}
+    while (document := register.document) is not None and register.owns():
+        for guard in field(body, "guards", list):
+            held = document["body"].get(guard["kind"], {}).get(guard["name"])
+            if held != guard["value"]:
+                return {"taken": False, "held": held}
+        edited = apply_edits(document["body"], field(body, "edits", list))
+        if isinstance(edited, Failure):
+            raise Mishap.refused("edit", part, "; ".join(edited.failure()))
+        try:
+            await register.commit(document, succeed(document, edited.unwrap(), None, document["group"]))
+        except Mishap as mishap:
+            if mishap.kind is not MishapKind.REFUSED:
+                raise
+            continue  # another edit came first: look at the guards again
+        council.announce(part)
+        return {"taken": True}
+    raise Mishap.refused("edit", part, "no owner here, or it has only just stood")
 
 
 async def confirm_current(council: Council, passed: bool = False) -> Message:
--- a/src/finchswitch/rehearsal/world.py
+++ b/src/finchswitch/rehearsal/world.py
@@ -127,5 +127,5 @@
             await context.terminated.set()
             group.cancel_scope.deadline = anyio.current_time() + (ANSWER_LONGEST_MS + CALLER_STILL_MS) / 1000
 
-    def http_transport(self, proof: Proof | None = None) -> httpx.AsyncBaseTransport:
-        return make_transport(self, proof)
+    def http_transport(self, proof: Proof | None = None, fresh: bool = False) -> httpx.AsyncBaseTransport:
+        return make_transport(self, proof, fresh)
--- a/src/finchswitch/transit/duties.py
+++ b/src/finchswitch/transit/duties.py
@@ -43,8 +43,10 @@
         self.vitals: dict[str, list[Any]] = {}
         self._seen_fences: dict[str, int] = {}
         self._planMs: dict[str, float] = {}
+        self._busy: set[str] = set()
 
     async def tend(self) -> None:
+        """Take up every key that falls to this node; each is done by itself, so that a dark runner delays its own."""
         while True:
             await self._node.world.sleep(VITALS_POLL_MS)
             if not self._node.may_grant() or not self._node.member.members:
@@ -52,13 +54,19 @@
             names = [each["name"] for each in self._node.member.members]
             mine = [key for key in self._keys() if holder_of(key, names) == self._node.member.card["name"]]
             self.vitals = {run: word for run, word in self.vitals.items() if f"vitals/{run}" in mine}
-            for key in mine:
-                try:
-                    fence = await self._hold(key)
-                    if fence is not None:
-                        await self._do(key, fence)
-                except Mishap as mishap:
-                    _log.info("Duty {} met a mishap. {}", key, mishap)
+            for key in sorted(set(mine) - self._busy):
+                self._busy.add(key)
+                self._node.group.start_soon(self._attend, key)
+
+    async def _attend(self, key: str) -> None:
+        try:
+            fence = await self._hold(key)
+            if fence is not None:
+                await self._do(key, fence)
+        except Mishap as mishap:
+            _log.info("Duty {} met a mishap. {}", key, mishap)
+        finally:
+            self._busy.discard(key)
 
     def _keys(self) -> list[str]:
         """The keys there are now; a service that nobody calls has none, however many are configured."""
@@ -106,8 +114,10 @@
             return
         askedMs = self._node.world.nowMs()
         try:
-            response = await known.client.get(f"http://{known.address}/metrics", timeout=ASK_WAIT_MS / 1000)
+            response = await known.reader.get(f"http://{known.address}/metrics", timeout=ASK_WAIT_MS / 1000)
         except httpx.HTTPError as error:
+            if isinstance(error, (httpx.ConnectError, httpx.ConnectTimeout)):
+                self._node.roster.down(known, str(error))
             raise Mishap(MishapKind.SILENT, "vitals", name, repr(error)) from None
         running = read_running(response.text, name)
         self.vitals[name] = [fence, known.incarnation, running, askedMs]
--- a/src/finchswitch/transit/roster.py
+++ b/src/finchswitch/transit/roster.py
@@ -55,8 +55,10 @@
         self.downUntilMs = 0.0
         self.listedMs = world.nowMs()
         timeout = httpx.Timeout(RUNNER_SILENT_MS / 1000, connect=PROOF_WAIT_MS / 1000)
-        transport = world.http_transport(RunnerProof(listed.runner, listed.incarnation, permit))
-        self.client = httpx.AsyncClient(transport=transport, timeout=timeout, trust_env=False)
+        proof = RunnerProof(listed.runner, listed.incarnation, permit)
+        fresh, kept = world.http_transport(proof, fresh=True), world.http_transport(proof)
+        self.client = httpx.AsyncClient(transport=fresh, timeout=timeout, trust_env=False)
+        self.reader = httpx.AsyncClient(transport=kept, timeout=timeout, trust_env=False)  # of vitals only
 
 
 class Roster:
@@ -145,6 +147,7 @@
         if known.walker.state is RunnerState.LEAVING:
             self._leaving_told.add(incarnation)
         await known.client.aclose()
+        await known.reader.aclose()
 
     def sendable(self, incarnation: str) -> bool:
         """Whether the incarnation is still listed and not leaving, by a list that is not too old."""
--- a/src/finchswitch/wire/client.py
+++ b/src/finchswitch/wire/client.py
@@ -102,13 +102,13 @@
         await anyio.sleep(seconds)
 
 
-def make_transport(dialer: Dialer, proof: Proof | None) -> httpx.AsyncBaseTransport:
+def make_transport(dialer: Dialer, proof: Proof | None, fresh: bool) -> httpx.AsyncBaseTransport:
     """An httpx transport whose connections come from the dialer.
 
-    With a proof, each request has a fresh connection: on a kept one, a request that the other end closed upon could
-    not be told from one that ran.
+    A request that must not run twice needs a fresh connection: on a kept one, a request that the other end closed upon
+    could not be told from one that ran.
     """
-    kept = 0 if proof is not None else KEPT_CONNECTIONS
+    kept = 0 if fresh else KEPT_CONNECTIONS
     transport = httpx.AsyncHTTPTransport(verify=False, trust_env=False)  # its own pool is replaced; no TLS here
     transport._pool = httpcore.AsyncConnectionPool(  # the one seam httpx leaves for a network backend
         max_connections=None,
--- a/src/finchswitch/wire/real.py
+++ b/src/finchswitch/wire/real.py
@@ -89,5 +89,5 @@
         config.accesslog, config.errorlog = None, logging.getLogger("hypercorn.quiet")
         await serve(app, config, shutdown_trigger=stop.wait, mode="asgi")
 
-    def http_transport(self, proof: Proof | None = None) -> httpx.AsyncBaseTransport:
-        return make_transport(self, proof)
+    def http_transport(self, proof: Proof | None = None, fresh: bool = False) -> httpx.AsyncBaseTransport:
+        return make_transport(self, proof, fresh)
--- a/src/finchswitch/wire/world.py
+++ b/src/finchswitch/wire/world.py
@@ -35,5 +35,5 @@
     async def serve_http(self, app: Any, address: str, stop: anyio.Event) -> None:
         """Serve an ASGI app until stop is set, then finish what is under way."""
 
-    def http_transport(self, proof: Any = None) -> httpx.AsyncBaseTransport:
-        """A client transport; ``proof(stream, address)`` runs on each new connection."""
+    def http_transport(self, proof: Any = None, fresh: bool = False) -> httpx.AsyncBaseTransport:
+        """A client transport; ``proof(stream, address)`` runs on each new connection, fresh ones serve one request."""
