Scenes of great losses, divided fleets, half-cut owners, bad links and storms of changes

Before: no scene lost runners with the fleet, no district, no lossy link. Ruled out: changes without a pause between, which made one run take minutes.

--- a/src/finchswitch/programs/stage.py
+++ b/src/finchswitch/programs/stage.py
@@ -19,7 +19,7 @@
 
 from finchswitch.programs.faults import FAULTS, Hands
 from finchswitch.programs.fleet import Fleet
-from finchswitch.rehearsal.callers import Desk, call_openly
+from finchswitch.rehearsal.callers import Calling, Desk, call_openly
 from finchswitch.rehearsal.checkers import judge
 from finchswitch.rehearsal.deployments import DEPLOYMENTS, Deployment
 from finchswitch.rehearsal.history import Change, History, Read
@@ -90,7 +90,7 @@
             untilMs = world.nowMs() + 1000 * seconds
             for traffic in fleet.deployment.traffic:
                 scaled = type(traffic)(**{**asdict(traffic), "perS": traffic.perS * share})
-                calling.start_soon(call_openly, world, desk, scaled, history, untilMs, callers, calling)
+                calling.start_soon(call_openly, Calling(world, desk, scaled, history, callers, calling), untilMs)
             operate = partial(_change, world, client, fleet, history)
             await FAULTS[faults](Hands(world, fleet, desk, history, operate, seconds))
         await _read_back(client, fleet, history)
--- a/src/finchswitch/rehearsal/callers.py
+++ b/src/finchswitch/rehearsal/callers.py
@@ -17,7 +17,7 @@
 from finchswitch.rehearsal.history import Call, History, Sight
 from finchswitch.wire import World
 
-__all__ = ["Desk", "call_once", "call_openly"]
+__all__ = ["Calling", "Desk", "call_once", "call_openly"]
 
 
 @dataclass
@@ -54,29 +54,47 @@
         return self.world.chance.choice(near or ready) if ready else None
 
 
-async def call_openly(
-    world: World,
-    desk: Desk,
-    traffic: Traffic,
-    history: History,
-    untilMs: float,
-    client: httpx.AsyncClient,
-    group: Any,
-    tag: str = "",
-) -> None:
+@dataclass
+class Calling:
+    """One service's callers, and how often each comes back when it is told to."""
+
+    world: World
+    desk: Desk
+    traffic: Traffic
+    history: History
+    client: httpx.AsyncClient
+    group: Any
+    tag: str = ""
+    patience: int = 0
+
+
+async def call_openly(calling: Calling, untilMs: float) -> None:
     """Call at the traffic's rate until the time; answers are awaited in tasks of the group."""
-    districts, at = sorted({district for _, district in desk.nodes.values()}), 0
+    world, traffic, at = calling.world, calling.traffic, 0
+    districts = sorted({district for _, district in calling.desk.nodes.values()})
     while world.nowMs() < untilMs:
         await world.sleep(world.chance.expovariate(traffic.perS) * 1000)
         at += 1
-        node = desk.hand(world.chance.choice(districts))
-        call = Call(f"{traffic.service}{tag}-{at}", traffic.service, traffic.repeatable, node or "", world.nowMs())
-        history.calls.append(call)
+        body, district = traffic.body(world.chance, at), world.chance.choice(districts)
+        calling.group.start_soon(_call_patiently, calling, f"{traffic.service}{calling.tag}-{at}", district, body)
+
+
+async def _call_patiently(calling: Calling, requestId: str, district: str, body: dict[str, Any]) -> None:
+    """One request; told that it was not run, its caller comes back when it was told to, under an id of its own."""
+    world, traffic = calling.world, calling.traffic
+    for again in range(calling.patience + 1):
+        node = calling.desk.hand(district)
+        name = f"{requestId}-again{again}" if again else requestId
+        call = Call(name, traffic.service, traffic.repeatable, node or "", world.nowMs())
+        calling.history.calls.append(call)
         if node is None:
-            call.reason = "no ready node"
-            continue
-        body = traffic.body(world.chance, at)
-        group.start_soon(call_once, world, client, desk.nodes[node][0], traffic, body, call)
+            call.reason, call.retryAfterS = "no ready node", 1.0
+        else:
+            await call_once(world, calling.client, calling.desk.nodes[node][0], traffic, body, call)
+            if call.outcome != "not-run":
+                return
+        if again < calling.patience:
+            await world.sleep(1000 * max(1.0, call.retryAfterS))
 
 
 async def call_once(
@@ -94,6 +112,7 @@
             call.status = response.status_code
             call.outcome = response.headers.get("x-outcome", "")
             call.retryAfter = "retry-after" in response.headers
+            call.retryAfterS = float(response.headers.get("retry-after", 0))
             if response.status_code != 200:
                 call.reason = (await response.aread()).decode()[:300]
                 return
--- a/src/finchswitch/rehearsal/history.py
+++ b/src/finchswitch/rehearsal/history.py
@@ -32,6 +32,7 @@
     reason: str = ""
     left: bool = False  # the caller went away by itself
     retryAfter: bool = False
+    retryAfterS: float = 0.0
 
     def reason_of_connection(self) -> bool:
         """Whether it ended, as its caller was told, because no connection to a runner came about."""
--- a/src/finchswitch/rehearsal/net.py
+++ b/src/finchswitch/rehearsal/net.py
@@ -14,7 +14,7 @@
 import anyio
 from anyio.abc import ByteStream
 
-from finchswitch.constants import CALLER_STILL_MS, SIM_WINDOW_BYTES
+from finchswitch.constants import CALLER_STILL_MS, SIM_AGAIN_MS, SIM_WINDOW_BYTES
 from finchswitch.rehearsal.history import DialSeen
 from finchswitch.rehearsal.machine import Machine
 
@@ -29,6 +29,7 @@
         self._changed = anyio.Event()
         self._dark: set[str] = set()
         self._numbers = 0
+        self.bad: dict[str, tuple[float, float]] = {}  # hosts with bad links: how slow, and which share is lost
         self.watched = ""  # the end of the addresses whose dials are written down
         self.dials: list[DialSeen] = []
 
@@ -67,8 +68,14 @@
         while self.blocked(origin, target):
             await self._changed.wait()
 
-    def delayMs(self) -> float:
-        return self.chance.uniform(self._leastMs, self._mostMs)
+    def delayMs(self, *hosts: str) -> float:
+        """How long something takes on its way; what is lost is sent again, each time after twice the wait."""
+        delayMs = self.chance.uniform(self._leastMs, self._mostMs)
+        slowMs, lostShare = max((self.bad[host] for host in hosts if host in self.bad), default=(0.0, 0.0))
+        againMs = SIM_AGAIN_MS
+        while lostShare and self.chance.random() < lostShare:
+            delayMs, againMs = delayMs + againMs, 2 * againMs
+        return delayMs + slowMs
 
     def number(self) -> int:
         self._numbers += 1
@@ -82,7 +89,7 @@
             self.dials.append(seen)
         await self.unblocked(origin.name, host_of(address))
         await self.unblocked(host_of(address), origin.name)
-        await anyio.sleep(self.delayMs() / 1000)
+        await anyio.sleep(self.delayMs(origin.name, host_of(address)) / 1000)
         if target is None or address not in target.listeners or target.listeners[address].closed:
             raise ConnectionRefusedError(f"nobody listens at {address}")
         near, far = SimStream(self, origin, target), SimStream(self, target, origin)
@@ -134,7 +141,7 @@
     def arrive(self, data: bytes, ended: str) -> None:
         if data:
             earlierMs = self._arrivals[-1][0] if self._arrivals else 0.0
-            atMs = max(anyio.current_time() * 1000 + self._net.delayMs(), earlierMs)
+            atMs = max(anyio.current_time() * 1000 + self._net.delayMs(self._machine.name, self._other.name), earlierMs)
             self._arrivals.append((atMs, data))
         self._ended = self._ended or ended
         self._notify()
--- a/src/finchswitch/rehearsal/scenes.py
+++ b/src/finchswitch/rehearsal/scenes.py
@@ -50,9 +50,9 @@
     expect(theatre, await theatre.settle(), "the fleet becomes ready")
 
 
-async def change_often(theatre: Theatre, count: int, pauseMs: float) -> None:
+async def change_often(theatre: Theatre, count: int, pauseMs: float, who: str = "") -> None:
     for at in range(count):
-        await theatre.insist(mark_edit(f"mark-{at}"), f"mark-{at}")
+        await theatre.insist(mark_edit(f"mark-{who}{at}"), f"mark-{who}{at}")
         await theatre.outside.sleep(theatre.chance.uniform(0, 2 * pauseMs))
 
 
--- a/src/finchswitch/rehearsal/sweep.py
+++ b/src/finchswitch/rehearsal/sweep.py
@@ -4,6 +4,7 @@
     scenes_core,
     scenes_liars,
     scenes_load,
+    scenes_losses,
     scenes_mixed,
     scenes_nodes,
     scenes_plans,
--- a/src/finchswitch/rehearsal/theatre.py
+++ b/src/finchswitch/rehearsal/theatre.py
@@ -18,7 +18,7 @@
 from finchswitch.accord.desk import make_desk
 from finchswitch.programs.startup import Startup
 from finchswitch.programs.transit import stop_node
-from finchswitch.rehearsal.callers import Desk, call_openly
+from finchswitch.rehearsal.callers import Calling, Desk, call_openly
 from finchswitch.rehearsal.deployments import Deployment
 from finchswitch.rehearsal.disk import SimDisk
 from finchswitch.rehearsal.history import Arrival, Fault, History, ListEvent, RunSeen
@@ -197,16 +197,15 @@
     def nowMs(self) -> float:
         return anyio.current_time() * 1000
 
-    async def call(self, forMs: float, share: float, tag: str = "") -> None:
-        """Callers at a share of the deployment's rate, until their last answer."""
+    async def call(self, forMs: float, share: float, tag: str = "", patience: int = 0) -> None:
+        """Callers at a share of the deployment's rate, until their last answer; refused, they may come back."""
         async with httpx.AsyncClient(transport=self.outside.http_transport(), trust_env=False) as client:
             async with anyio.create_task_group() as group:
                 untilMs = self.outside.nowMs() + forMs
                 for traffic in self.deployment.traffic:
                     scaled = type(traffic)(**{**vars(traffic), "perS": traffic.perS * share})
-                    group.start_soon(
-                        call_openly, self.outside, self.desk, scaled, self.history, untilMs, client, group, tag
-                    )
+                    calling = Calling(self.outside, self.desk, scaled, self.history, client, group, tag, patience)
+                    group.start_soon(call_openly, calling, untilMs)
 
     async def settle(self, mostMs: float = 20_000) -> bool:
         """Wait until every transit that runs is ready."""
