What is said and kept carries a format number; what cannot start says so in one line

Cause: nothing told a newer folder from a torn one, which is emptied, nor a newer process from one that speaks badly; a port in use ended in a traceback. Ruled out: guessing from fields.

--- a/src/finchswitch/accord/store.py
+++ b/src/finchswitch/accord/store.py
@@ -1,7 +1,8 @@
 """A control node's store: its identity, its fleet, and one acceptor a part, all in one data folder.
 
 Anything torn or unreadable in it means that the store no longer knows what it promised. Then all of it is put
-aside and a new, empty store takes its place, under a new identity, and has no vote until it is swapped in.
+aside and a new, empty store takes its place, under a new identity, and has no vote until it is swapped in. What a
+newer version wrote is not torn: the process ends and leaves it as it is.
 """
 
 from enum import Enum
@@ -54,6 +55,8 @@
         try:
             self._open()
         except Mishap as mishap:
+            if mishap.kind is MishapKind.NEWER:
+                raise
             _log.error("Store is not to be trusted and starts empty. {}", mishap)
             self._start_empty()
 
--- a/src/finchswitch/constants.py
+++ b/src/finchswitch/constants.py
@@ -7,6 +7,12 @@
 
 from typing import Final
 
+# Formats: what this version writes, and the highest that it reads. A new one is first read everywhere, then written.
+WIRE_FORMAT: Final = 1  # of frames between the fleet's processes
+WIRE_READS: Final = 1  # a frame of a higher format is answered with a mishap that says so
+SHELF_FORMAT: Final = 1  # of files in the data folder
+SHELF_READS: Final = 1  # a process that finds a higher format ends and leaves the folder as it is
+
 # Wire
 FRAME_MOST_BYTES: Final = 8 * 1024 * 1024  # a configuration of some ten thousand bindings, with room
 FRAME_DIGITS_MOST: Final = 8  # enough digits for FRAME_MOST_BYTES; a longer length is a broken frame
--- a/src/finchswitch/mishap.py
+++ b/src/finchswitch/mishap.py
@@ -17,6 +17,7 @@
     INVALID = "invalid"  # the content is wrong
     LARGE = "large"  # over a bound
     FULL = "full"  # a disk or a queue has no room
+    NEWER = "newer"  # of a format that this version does not read
     LOST = "lost"  # a fate that nobody here knows
 
 
--- a/src/finchswitch/programs/cli.py
+++ b/src/finchswitch/programs/cli.py
@@ -4,7 +4,7 @@
 4 committed but not everywhere yet, 5 fate unknown.
 """
 
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterator
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -13,6 +13,7 @@
 from returns.result import Failure
 
 from finchswitch.logs import to_stderr
+from finchswitch.mishap import Mishap
 from finchswitch.programs import operate, stand_ins
 from finchswitch.programs.startup import Startup, read_startup
 
@@ -46,7 +47,23 @@
         raise typer.Exit(2)
     startup = read.unwrap()
     to_stderr(startup.log, startup.name)
-    anyio.run(run, startup, backend="trio")
+    try:
+        anyio.run(run, startup, backend="trio")
+    except (OSError, Mishap, ExceptionGroup) as ended:
+        causes = list(_causes(ended))
+        if not all(isinstance(each, (OSError, Mishap)) for each in causes):
+            raise
+        for each in dict.fromkeys(str(each) for each in causes):
+            typer.echo(f"{program} {startup.name} ends: {each}", err=True)
+        raise typer.Exit(1) from None
+
+
+def _causes(ended: Exception) -> Iterator[Exception]:
+    if isinstance(ended, ExceptionGroup):
+        for each in ended.exceptions:
+            yield from _causes(each)
+    else:
+        yield ended
 
 
 @app.command()
@@ -91,7 +108,7 @@
     seconds: Annotated[int, typer.Option(help="How long callers call.")] = 30,
     seed: Annotated[int, typer.Option(help="The seed of callers and faults.")] = 1,
     share: Annotated[float, typer.Option(help="Share of the deployment's request rate.")] = 1.0,
-    faults: Annotated[str, typer.Option(help="planned, crash, freeze, loss or none.")] = "planned",
+    faults: Annotated[str, typer.Option(help="planned, crash, freeze, loss, runners, storm or none.")] = "planned",
     keep: Annotated[Path | None, typer.Option(help="Folder for logs and data; a temporary one otherwise.")] = None,
     as_json: Annotated[bool, typer.Option("--json", help="The report as JSON.")] = False,
 ) -> None:
--- a/src/finchswitch/rehearsal/sweep.py
+++ b/src/finchswitch/rehearsal/sweep.py
@@ -9,6 +9,7 @@
     scenes_nodes,
     scenes_plans,
     scenes_runners,
+    scenes_versions,
 )
 from finchswitch.rehearsal.checkers import judge
 from finchswitch.rehearsal.deployments import CORE, VILLAGE, Deployment
--- a/src/finchswitch/rehearsal/theatre.py
+++ b/src/finchswitch/rehearsal/theatre.py
@@ -16,6 +16,7 @@
 from finchswitch.accord.asks import run_council
 from finchswitch.accord.council import Council
 from finchswitch.accord.desk import make_desk
+from finchswitch.constants import WIRE_FORMAT, WIRE_READS
 from finchswitch.programs.startup import Startup
 from finchswitch.programs.transit import stop_node
 from finchswitch.rehearsal.callers import Calling, Desk, call_openly
@@ -49,6 +50,7 @@
     council: Council | None = None
     stop: anyio.Event | None = None
     closed: anyio.Event | None = None
+    formats: tuple[int, int] = (WIRE_FORMAT, WIRE_READS)
 
 
 class Theatre(Operated):
@@ -127,6 +129,7 @@
 
     async def _run_accord(self, actor: Actor, group: TaskGroup) -> None:
         world = self._world(actor.host)
+        world.formats = actor.formats
         disk = self.disks.setdefault(actor.name, SimDisk(self.net.machine(actor.host)))
         actor.council = Council(world, disk, self._startup(actor), group)
         actor.stop = anyio.Event()
@@ -135,6 +138,7 @@
 
     async def _run_transit(self, actor: Actor, group: TaskGroup) -> None:
         world = self._world(actor.host)
+        world.formats = actor.formats
         node = actor.node = Node(world, self._startup(actor), group)
         stop, closed = actor.stop, actor.closed = anyio.Event(), anyio.Event()
 
--- a/src/finchswitch/rehearsal/world.py
+++ b/src/finchswitch/rehearsal/world.py
@@ -18,7 +18,7 @@
 from hypercorn.typing import ConnectionState
 from hypercorn.utils import wrap_app
 
-from finchswitch.constants import ANSWER_LONGEST_MS, CALLER_STILL_MS
+from finchswitch.constants import ANSWER_LONGEST_MS, CALLER_STILL_MS, WIRE_FORMAT, WIRE_READS
 from finchswitch.rehearsal.machine import Machine
 from finchswitch.rehearsal.net import Net, SimListener, SimStream, host_of
 from finchswitch.wire.client import Proof, make_transport
@@ -81,6 +81,7 @@
     def __init__(self, net: Net, machine: Machine, seed: int) -> None:
         self._net, self._machine = net, machine
         self.chance = Random(seed)
+        self.formats = (WIRE_FORMAT, WIRE_READS)
 
     def nowMs(self) -> float:
         return self._machine.nowMs()
--- a/src/finchswitch/shelf/__init__.py
+++ b/src/finchswitch/shelf/__init__.py
@@ -2,7 +2,8 @@
 
 ``put`` returns only when the bytes and the name are synced. A file carries a digest of its content, so a torn
 one is told from a whole one; the newest file counts or nothing does, since an older one may have forgotten a
-promise. ``Disk`` is the few calls that a shelf makes, with a real making here and another in the rehearsal.
+promise. A file also carries its format's number; a higher one than is read here is left alone. ``Disk`` is the
+few calls that a shelf makes, with a real making here and another in the rehearsal.
 """
 
 import hashlib
@@ -11,7 +12,7 @@
 from pathlib import Path
 from typing import Any, Protocol
 
-from finchswitch.constants import SHELF_KEEP
+from finchswitch.constants import SHELF_FORMAT, SHELF_KEEP, SHELF_READS
 from finchswitch.mishap import Mishap, MishapKind
 
 __all__ = ["Disk", "RealDisk", "Shelf"]
@@ -80,7 +81,7 @@
 
     def put(self, content: dict[str, Any]) -> None:
         """Write the next version; returns when it will last, or raises a Mishap FULL."""
-        body = json.dumps(content, separators=(",", ":"))
+        body = json.dumps({**content, "format": SHELF_FORMAT}, separators=(",", ":"))
         digest = hashlib.sha256(body.encode()).hexdigest()
         name = f"{self._version + 1:012d}.json"
         try:
@@ -105,6 +106,9 @@
         if hashlib.sha256(body.encode()).hexdigest() != digest:
             raise Mishap(MishapKind.BROKEN, "read", f"{self._folder}/{name}", "torn: digest differs")
         content: dict[str, Any] = json.loads(body)
+        if content.pop("format", 1) > SHELF_READS:
+            reason = f"of a newer format than {SHELF_READS}, the newest that this version reads; nothing was changed"
+            raise Mishap(MishapKind.NEWER, "read", f"{self._folder}/{name}", reason)
         return content
 
     def clear(self) -> None:
--- a/src/finchswitch/wire/link.py
+++ b/src/finchswitch/wire/link.py
@@ -13,14 +13,14 @@
 
 import anyio
 from anyio.abc import ByteStream, TaskGroup
-from anyio.streams.buffered import BufferedByteReceiveStream
 from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
 from returns.primitives.exceptions import UnwrapFailedError
 
 from finchswitch.constants import ASK_WAIT_MS, DIAL_WAIT_MS, INBOX_MOST
 from finchswitch.logs import prefix
 from finchswitch.mishap import Mishap, MishapKind
-from finchswitch.wire.netstring import Message, pack, unpack_next
+from finchswitch.wire.line import CONNECTION_GONE, Line
+from finchswitch.wire.netstring import Message
 from finchswitch.wire.world import World
 
 __all__ = ["GONE", "Asked", "Book", "field", "reading", "serve_asks", "settle"]
@@ -28,7 +28,6 @@
 GONE = "gone"  # the kind under which a closed connection is told to the program's loop
 
 _log = prefix("wire")
-_GONE = (anyio.BrokenResourceError, anyio.ClosedResourceError, anyio.EndOfStream, OSError)
 
 
 def field(body: Message, name: str, kind: type | tuple[type, ...], peer: str = "peer") -> Any:
@@ -52,25 +51,8 @@
         raise Mishap(MishapKind.BROKEN, step, peer, f"not of the agreed shape: {wrong!r}") from None
 
 
-class _Line:
-    """A connection with its send lock."""
-
-    def __init__(self, stream: ByteStream, peer: str) -> None:
-        self.stream, self.peer = stream, peer
-        self.reader = BufferedByteReceiveStream(stream)
-        self._lock = anyio.Lock()
-
-    async def send(self, message: Message) -> None:
-        frame = pack(message)
-        try:
-            async with self._lock:
-                await self.stream.send(frame)
-        except _GONE:
-            raise Mishap(MishapKind.BROKEN, "send", self.peer, "connection gone") from None
-
-
 class _Link:
-    def __init__(self, line: _Line) -> None:
+    def __init__(self, line: Line) -> None:
         self.line = line
         self.numbers = itertools.count(1)
         self.pending: dict[int, MemoryObjectSendStream[Message]] = {}
@@ -130,23 +112,24 @@
                 raise Mishap(MishapKind.REFUSED, step, address, "connection refused") from None
             except (OSError, TimeoutError):
                 raise Mishap(MishapKind.SILENT, step, address, "cannot connect") from None
-            link = self._links[address] = _Link(_Line(stream, address))
+            link = self._links[address] = _Link(Line(stream, address, self._world.formats))
             self._group.start_soon(self._read, address, link)
             return link
 
     async def _read(self, address: str, link: _Link) -> None:
         try:
             while link.open:
-                answer = await unpack_next(link.line.reader, address)
+                answer = await link.line.next()
                 if answer is None:
                     return
+                link.line.check(answer)
                 link.received += 1
                 waiting = link.pending.pop(field(answer, "number", int, address), None)
                 if waiting is not None:
                     waiting.send_nowait(answer)
         except Mishap as mishap:
             _log.warning("Closed a link. {}", mishap)
-        except _GONE:
+        except CONNECTION_GONE:
             pass
         finally:
             self._drop(address, link)
@@ -162,7 +145,7 @@
     body: Message
     peer: str
     _number: int
-    _line: _Line
+    _line: Line
 
     async def answer(self, body: Message) -> None:
         await self._send({"number": self._number, "body": body})
@@ -192,17 +175,25 @@
         await asked.close()
 
 
-async def _read_asks(stream: ByteStream, peer: str, inbox: MemoryObjectSendStream[Asked]) -> None:
-    line = _Line(stream, peer)
+async def _read_asks(
+    stream: ByteStream, peer: str, inbox: MemoryObjectSendStream[Asked], formats: tuple[int, int]
+) -> None:
+    line = Line(stream, peer, formats)
     try:
-        while (message := await unpack_next(line.reader, peer)) is not None:
+        while (message := await line.next()) is not None:
+            try:
+                line.check(message)
+            except Mishap as mishap:
+                _log.error("A newer process is kept out. {}", mishap)
+                await line.send({"number": message.get("number"), "mishap": str(mishap)})
+                break
             number, kind = field(message, "number", int, peer), field(message, "kind", str, peer)
             if kind == GONE:
                 raise Mishap(MishapKind.BROKEN, "shape", peer, "a kind that no peer may send")
             await inbox.send(Asked(kind, field(message, "body", dict, peer), peer, number, line))
     except Mishap as mishap:
         _log.warning("Closed a connection. {}", mishap)
-    except _GONE:
+    except CONNECTION_GONE:
         pass
     finally:
         with anyio.CancelScope(shield=True):
@@ -220,9 +211,9 @@
         while True:
             try:
                 stream, peer = await listener.accept()
-            except _GONE:
+            except CONNECTION_GONE:
                 return
-            group.start_soon(_read_asks, stream, peer, send)
+            group.start_soon(_read_asks, stream, peer, send, world.formats)
 
     group.start_soon(accept)
     try:
--- a/src/finchswitch/wire/real.py
+++ b/src/finchswitch/wire/real.py
@@ -12,7 +12,8 @@
 from hypercorn.config import Config
 from hypercorn.trio import serve
 
-from finchswitch.constants import ANSWER_LONGEST_MS, CALLER_STILL_MS
+from finchswitch.constants import ANSWER_LONGEST_MS, CALLER_STILL_MS, WIRE_FORMAT, WIRE_READS
+from finchswitch.mishap import Mishap
 from finchswitch.wire.client import Proof, make_transport
 from finchswitch.wire.world import Listener
 
@@ -50,15 +51,16 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, stillMs)
     try:
         sock.bind(split_address(address))
-    except OSError:
+    except OSError as error:
         sock.close()
-        raise
+        raise Mishap.refused("listen", address, error.strerror or str(error)) from None
     return sock
 
 
 class RealWorld:
     def __init__(self, seed: int | None = None, stillMs: int = CALLER_STILL_MS) -> None:
         self.chance, self.stillMs = Random(seed), stillMs
+        self.formats = (WIRE_FORMAT, WIRE_READS)
 
     def nowMs(self) -> float:
         return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000
@@ -78,7 +80,10 @@
 
     async def listen(self, address: str) -> Listener:
         host, port = split_address(address)
-        listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
+        try:
+            listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
+        except OSError as error:
+            raise Mishap.refused("listen", address, error.strerror or str(error)) from None
         return _RealListener(listener.listeners[0])
 
     async def serve_http(self, app: Any, address: str, stop: anyio.Event) -> None:
--- a/src/finchswitch/wire/world.py
+++ b/src/finchswitch/wire/world.py
@@ -22,6 +22,7 @@
 
 class World(Protocol):
     chance: Random
+    formats: tuple[int, int]  # the wire format that this process writes, and the highest that it reads
 
     def nowMs(self) -> float:
         """Milliseconds that only grow and count the time a machine was frozen."""
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -1,12 +1,16 @@
 """The command line: checked settings, useful exit codes, and mirror."""
 
 import json
+import socket
 
 import pytest
 from typer.testing import CliRunner
 
+import finchswitch.programs.cli
+import finchswitch.shelf
 from finchswitch.programs.cli import app
 from finchswitch.programs.startup import read_startup
+from finchswitch.shelf import RealDisk, Shelf
 
 RUN = CliRunner()
 SOUND = {
@@ -103,3 +107,34 @@
     assert RUN.invoke(app, ["members", "--at", "127.0.0.1:1"]).exit_code == 3
     sent = RUN.invoke(app, ["change", str(file), "--at", "127.0.0.1:1", "--base", "0", "--id", "x"])
     assert sent.exit_code == 5 and "--id x --base 0" in sent.stderr
+
+
+@pytest.mark.parametrize("which", ["address", "http"])
+def test_an_address_in_use_is_one_line_and_no_traceback(tmp_path, monkeypatch, which):
+    monkeypatch.setattr(finchswitch.programs.cli, "to_stderr", lambda level, name: None)
+    with socket.socket() as taken, socket.socket() as free:
+        for each in (taken, free):
+            each.bind(("127.0.0.1", 0))
+        taken.listen()
+        busy, other = (f"127.0.0.1:{each.getsockname()[1]}" for each in (taken, free))
+        free.close()
+        file = tmp_path / "a.toml"
+        places = {"address": other, "http": other, which: busy}
+        file.write_text("\n".join(f"{name} = {json.dumps(value)}" for name, value in {**SOUND, **places}.items()))
+        result = RUN.invoke(app, ["accord", "--file", str(file), "--data", str(tmp_path / "data"), "--log", "error"])
+    assert result.exit_code == 1
+    assert [line for line in result.stderr.splitlines() if "ends:" in line] == [
+        f"accord a1 ends: listen at {busy}: refused: Address already in use"
+    ]
+    assert "Traceback" not in result.stderr
+
+
+def test_a_folder_of_a_newer_version_is_named_and_left(tmp_path, monkeypatch):
+    monkeypatch.setattr(finchswitch.programs.cli, "to_stderr", lambda level, name: None)
+    monkeypatch.setattr(finchswitch.shelf, "SHELF_FORMAT", 2)
+    Shelf(RealDisk(tmp_path / "data"), "store").put({"store": "s", "fleet": "f", "founders": []})
+    file = tmp_path / "a.toml"
+    file.write_text("\n".join(f"{name} = {json.dumps(value)}" for name, value in SOUND.items()))
+    result = RUN.invoke(app, ["accord", "--file", str(file), "--data", str(tmp_path / "data")])
+    assert result.exit_code == 1 and "newer format" in result.stderr and "Traceback" not in result.stderr
+    assert len(list((tmp_path / "data" / "store").iterdir())) == 1
--- a/tests/test_shared_state.py
+++ b/tests/test_shared_state.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+import finchswitch.shelf
 from finchswitch.accord.acceptor import Acceptor
 from finchswitch.accord.document import founding_document, shrink, succeed
 from finchswitch.accord.store import Store, StoreState
@@ -131,3 +132,15 @@
         shelf.put({"n": 2})
     assert mishap.value.kind is MishapKind.FULL and mishap.value.step == "put"
     assert Shelf(disk, "x").newest() == {"n": 1}
+
+
+def test_what_a_newer_version_wrote_is_left_as_it_is(tmp_path, monkeypatch):
+    world, disk = StillWorld(), RealDisk(tmp_path)
+    Store(world, disk, "n").found(["x", "y", "z"])
+    monkeypatch.setattr(finchswitch.shelf, "SHELF_FORMAT", 2)
+    Shelf(disk, "part-1").put({"promised": [9, "x"], "ballot": [0, ""], "document": None})
+    before = {file: file.read_bytes() for file in sorted(tmp_path.rglob("*.json"))}
+    with pytest.raises(Mishap) as mishap:
+        Store(world, disk, "n")
+    assert mishap.value.kind is MishapKind.NEWER and "part-1" in str(mishap.value)
+    assert {file: file.read_bytes() for file in sorted(tmp_path.rglob("*.json"))} == before
