--- a/src/finchswitch/programs/faults.py
+++ b/src/finchswitch/programs/faults.py
@@ -4,6 +4,8 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import anyio
+
 from finchswitch.programs.fleet import Fleet
 from finchswitch.rehearsal.callers import Desk
 from finchswitch.rehearsal.history import Change, Fault, History
@@ -15,9 +17,11 @@
 class Hands:
     """What a fault may use: the fleet, its history, and an operator."""
 
-    def __init__(self, world: World, fleet: Fleet, desk: Desk, history: History, change: Any, seconds: int) -> None:
+    def __init__(
+        self, world: World, fleet: Fleet, desk: Desk, history: History, client: Any, change: Any, seconds: int
+    ) -> None:
         self.world, self.fleet, self.desk, self.history, self.seconds = world, fleet, desk, history, seconds
-        self._change = change
+        self._client, self._change = client, change
         self.base = 1
 
     async def change(self, content: dict[str, Any], changeId: str) -> Change:
@@ -27,9 +31,20 @@
 
     def kill(self, name: str) -> None:
         nowMs = self.world.nowMs()
-        self.history.faults.append(Fault(self.fleet.incarnations.get(name, name), nowMs, nowMs))
+        self.history.faults.append(Fault(name, nowMs, nowMs))
         self.fleet.signal(name, signal.SIGKILL)
 
+    def freeze(self, name: str) -> None:
+        self.history.failing(name, self.world.nowMs())
+        self.fleet.signal(name, signal.SIGSTOP)
+
+    def thaw(self, name: str) -> None:
+        self.fleet.signal(name, signal.SIGCONT)
+        self.history.mended(name, self.world.nowMs())
+
+    async def tell(self, act: str, name: str, incarnation: str) -> None:
+        await self.fleet.tell(self._client, self.history, self.world, act, name, incarnation)
+
     async def pause(self, share: float) -> None:
         await self.world.sleep(1000 * self.seconds * share)
 
@@ -57,16 +72,14 @@
 async def freeze(hands: Hands) -> None:
     """One machine after another is stopped by SIGSTOP past every lease and wakes, with changes meanwhile."""
     fleet, chance = hands.fleet, hands.world.chance
-    names = ["accord1", *sorted(hands.desk.nodes)[:2], "accord2", f"{fleet.deployment.runner_names()[0]}"]
+    names = ["accord1", *sorted(hands.desk.nodes)[:2], "accord2", f"{fleet.deployment.runner_names()[0]}-i1"]
     for at, name in enumerate(names):
-        hands.history.failing(fleet.incarnations.get(name, name), hands.world.nowMs())
-        fleet.signal(name, signal.SIGSTOP)
+        hands.freeze(name)
         await hands.pause(0.05)
         value = chance.choice([0.8, 0.9])
         await hands.change({"edits": [{"kind": "settings", "name": "spillShare", "value": value}]}, f"frozen-{at}")
         await hands.pause(0.05)
-        fleet.signal(name, signal.SIGCONT)
-        hands.history.mended(fleet.incarnations.get(name, name), hands.world.nowMs())
+        hands.thaw(name)
         await hands.pause(0.07)
 
 
@@ -107,6 +120,60 @@
     await hands.change({"edits": [{"kind": "settings", "name": "spillShare", "value": 0.9}]}, "after")
 
 
+async def runners(hands: Hands) -> None:
+    """One runner is killed and its address taken by its next incarnation, one replaced as planned, one frozen."""
+    fleet, (first, second, third, *_) = hands.fleet, hands.fleet.deployment.runner_names()
+    await hands.pause(0.1)
+    hands.kill(f"{first}-i1")
+    fleet.add_runner(first, f"{first}-i2", fleet.addresses[f"{first}-i1"])
+    fleet.start(f"{first}-i2")
+    await hands.world.sleep(2_500)  # it answers there while the list still shows the old one
+    await hands.tell("remove", first, f"{first}-i1")
+    await hands.tell("list", first, f"{first}-i2")
+    await hands.pause(0.15)
+    fleet.add_runner(second, f"{second}-i2")
+    fleet.start(f"{second}-i2")
+    await hands.world.sleep(1_500)
+    await hands.tell("list", second, f"{second}-i2")
+    await hands.tell("leave", second, f"{second}-i1")
+    await hands.world.sleep(5_000)
+    await fleet.stop_softly(f"{second}-i1", hands.world)
+    await hands.tell("remove", second, f"{second}-i1")
+    await hands.pause(0.1)
+    hands.freeze(f"{third}-i1")
+    await hands.world.sleep(3_000)
+    hands.thaw(f"{third}-i1")
+
+
+async def storm(hands: Hands) -> None:
+    """Control and routing nodes are killed and frozen at seeded moments, several at once, under racing operators."""
+    fleet, world, chance = hands.fleet, hands.world, hands.world.chance
+    nodes, cores = sorted(hands.desk.nodes), [f"accord{at}" for at in range(1, fleet.deployment.cores + 1)]
+    untilMs = world.nowMs() + 1000 * hands.seconds * 0.8
+    async with anyio.create_task_group() as group:
+        for who in range(2):
+            group.start_soon(_race, hands, who, untilMs)
+        while world.nowMs() < untilMs:
+            some, few = chance.choice([0, 1, 1, 2]), chance.choice([0, 1, 1, 2])
+            names = [*chance.sample(nodes, some), *chance.sample(cores, few)]
+            freezing = chance.random() < 0.4
+            for name in names:
+                hands.freeze(name) if freezing else hands.kill(name)
+            await world.sleep(chance.uniform(200, 3_500))
+            for name in names:
+                hands.thaw(name) if freezing else fleet.start(name)
+            await world.sleep(chance.uniform(1_500, 4_000))
+
+
+async def _race(hands: Hands, who: int, untilMs: float) -> None:
+    at = 0
+    while hands.world.nowMs() < untilMs:
+        at += 1
+        value = round(hands.world.chance.uniform(0.7, 0.95), 3)
+        await hands.change({"edits": [{"kind": "settings", "name": "spillShare", "value": value}]}, f"race-{who}-{at}")
+        await hands.world.sleep(hands.world.chance.uniform(100, 900))
+
+
 async def none(hands: Hands) -> None:
     """Nothing fails."""
 
@@ -116,5 +183,7 @@
     "crash": crash,
     "freeze": freeze,
     "loss": loss,
+    "runners": runners,
+    "storm": storm,
     "none": none,
 }
--- a/src/finchswitch/programs/fleet.py
+++ b/src/finchswitch/programs/fleet.py
@@ -11,7 +11,7 @@
 
 from finchswitch.constants import STAGE_HOST, STAGE_PORT
 from finchswitch.rehearsal.deployments import Deployment
-from finchswitch.rehearsal.history import History, ListEvent, RunSeen
+from finchswitch.rehearsal.history import Arrival, History, ListEvent, RunSeen
 from finchswitch.wire import World
 
 __all__ = ["Fleet"]
@@ -24,7 +24,7 @@
         self._commands: dict[str, list[str]] = {}
         self._http: dict[str, tuple[str, str]] = {}
         self.incarnations: dict[str, str] = {}
-        self._addresses: dict[str, str] = {}
+        self.addresses: dict[str, str] = {}  # of every incarnation there ever was
         self._platform = self._next()
         self._plan()
 
@@ -47,11 +47,15 @@
             place = ["--name", name, "--address", self._next(), "--http", self._http[name][0], "--district", district]
             self._commands[name] = ["transit", *place, "--platform", self._platform, *seeding]
         for name in [*self.deployment.runner_names(), *self.deployment.spare]:
-            address, incarnation = self._next(), f"{name}-i1"
-            self.incarnations[name], self._addresses[name] = incarnation, address
-            history = ["--history", str(self._folder / f"{name}.runs")]
-            slots = ["--slots", str(self.deployment.slots)]
-            self._commands[name] = ["stand-in", "runner", name, incarnation, address, *slots, *history]
+            self.add_runner(name, f"{name}-i1")
+
+    def add_runner(self, name: str, incarnation: str, address: str = "") -> None:
+        """A runner's process to be started, under its incarnation; at an old address if one is given."""
+        address = address or self._next()
+        self.incarnations[name], self.addresses[incarnation] = incarnation, address
+        history = ["--history", str(self._folder / f"{incarnation}.runs")]
+        slots = ["--slots", str(self.deployment.slots)]
+        self._commands[incarnation] = ["stand-in", "runner", name, incarnation, address, *slots, *history]
 
     def start(self, name: str) -> None:
         log = open(self._folder / f"{name}.log", "ab")  # noqa: SIM115
@@ -106,14 +110,21 @@
 
     async def list_runners(self, client: httpx.AsyncClient, history: History, world: World) -> None:
         for name, incarnation in self.incarnations.items():
-            act = {"act": "list", "runner": name, "incarnation": incarnation, "address": self._addresses[name]}
-            for _ in range(200):
-                try:
-                    await client.post(f"http://{self._platform}/stand-in", json=act)
-                    break
-                except httpx.HTTPError:
-                    await world.sleep(50)
-            history.listed.append(ListEvent(incarnation, "listed", world.nowMs()))
+            await self.tell(client, history, world, "list", name, incarnation)
+
+    async def tell(
+        self, client: httpx.AsyncClient, history: History, world: World, act: str, name: str, incarnation: str
+    ) -> None:
+        """Have the platform list a runner, show it leaving, or remove it."""
+        body = {"act": act, "runner": name, "incarnation": incarnation, "address": self.addresses[incarnation]}
+        what = {"list": "listed", "leave": "leaving", "remove": "removed"}[act]
+        history.listed.append(ListEvent(incarnation, what, world.nowMs()))
+        for _ in range(200):
+            try:
+                await client.post(f"http://{self._platform}/stand-in", json=body)
+                return
+            except httpx.HTTPError:
+                await world.sleep(50)
 
     async def vitals(self, client: httpx.AsyncClient) -> dict[str, Any]:
         shown: dict[str, Any] = {}
@@ -124,10 +135,15 @@
                 shown[name] = repr(error)
         return shown
 
-    def read_runs(self) -> list[RunSeen]:
-        runs: list[RunSeen] = []
-        for name in self.incarnations:
-            file = self._folder / f"{name}.runs"
-            if file.exists():
-                runs += [RunSeen(**json.loads(line)) for line in file.read_text().splitlines()]
-        return runs
+    def read_runs(self, history: History) -> None:
+        """What the runners wrote down; a run's later line says more than its first."""
+        runs: dict[tuple[str, str, float], RunSeen] = {}
+        for incarnation in self.addresses:
+            file = self._folder / f"{incarnation}.runs"
+            for line in file.read_text().splitlines() if file.exists() else []:
+                row = json.loads(line)
+                if "refused" in row:
+                    history.refusals.append(Arrival(row["refused"], row["incarnation"], row["atMs"]))
+                else:
+                    runs[row["requestId"], incarnation, row["atMs"]] = RunSeen(**row)
+        history.runs = list(runs.values())
--- a/src/finchswitch/programs/stage.py
+++ b/src/finchswitch/programs/stage.py
@@ -2,7 +2,8 @@
 
 The faults are chosen by name: ``planned`` puts a move plan under way, kills one control node and stops and starts
 every routing node in turn; ``crash`` kills nodes one by one, ``freeze`` stops processes past every lease, ``loss``
-kills all at once. The report says what callers got and which points of what must never happen were broken.
+kills all at once, ``runners`` kills and replaces runners, ``storm`` does many things at seeded moments. The report
+says what callers got and which points of what must never happen were broken.
 """
 
 import json
@@ -67,8 +68,8 @@
             await _rehearse(world, fleet, group, history, seconds, share, faults)
         finally:
             fleet.stop_all()
-        history.runs = fleet.read_runs()
-        history.allowed = set(fleet.incarnations.values())
+        fleet.read_runs(history)
+        history.allowed = set(fleet.addresses)
         group.cancel_scope.cancel()
     return history
 
@@ -92,7 +93,7 @@
                 scaled = type(traffic)(**{**asdict(traffic), "perS": traffic.perS * share})
                 calling.start_soon(call_openly, Calling(world, desk, scaled, history, callers, calling), untilMs)
             operate = partial(_change, world, client, fleet, history)
-            await FAULTS[faults](Hands(world, fleet, desk, history, operate, seconds))
+            await FAULTS[faults](Hands(world, fleet, desk, history, client, operate, seconds))
         await _read_back(client, fleet, history)
         history.notes["vitals"] = await fleet.vitals(client)
 
--- a/src/finchswitch/programs/stand_ins.py
+++ b/src/finchswitch/programs/stand_ins.py
@@ -1,6 +1,5 @@
 """The stand-ins as processes of their own, for ``stage``."""
 
-import json
 import signal
 from typing import Annotated, Any
 
@@ -23,7 +22,7 @@
     address: str,
     slots: int = 50,
     weights: str = "w1",
-    history: Annotated[str, typer.Option(help="File for what was run, written at the end.")] = "",
+    history: Annotated[str, typer.Option(help="File for what is run, a line at its begin and end.")] = "",
 ) -> None:
     """A stand-in runner."""
     anyio.run(_runner, name, incarnation, address, Traits(slots=slots, weights=weights), history, backend="trio")
@@ -32,16 +31,10 @@
 async def _runner(name: str, incarnation: str, address: str, traits: Traits, history: str) -> None:
     async with anyio.create_task_group() as group:
         world = RealWorld()
-        stand_in = StandInRunner(world, name, incarnation, traits)
-        await _until_stopped(world, group, stand_in.app(), address)
-        if history:
-            _write(history, stand_in)
-        group.cancel_scope.cancel()
-
-
-def _write(history: str, stand_in: StandInRunner) -> None:
-    with open(history, "w", encoding="utf-8") as file:
-        file.writelines(json.dumps(vars(run)) + "\n" for run in stand_in.runs)
+        with open(history or "/dev/null", "a", encoding="utf-8") as file:  # noqa: ASYNC230  a stand-in may block
+            stand_in = StandInRunner(world, name, incarnation, traits, log=file)
+            await _until_stopped(world, group, stand_in.app(), address)
+            group.cancel_scope.cancel()
 
 
 @app.command()
--- a/src/finchswitch/rehearsal/runner.py
+++ b/src/finchswitch/rehearsal/runner.py
@@ -7,7 +7,7 @@
 import json
 from collections import OrderedDict
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, TextIO
 
 import anyio
 from starlette.applications import Starlette
@@ -59,6 +59,7 @@
     refusals: list[tuple[str, float]] = field(default_factory=list)
     break_after: int | None = None  # pieces after which streams are cut
     proofMs: float = 0.0  # how long it takes to say who it is
+    log: TextIO | None = None  # where runs are written down as they happen, for a process that may be killed
     lie: str = ""  # "identity" or "request": answer under a foreign name; "skip" or "twice": the second piece
 
     def __post_init__(self) -> None:
@@ -68,6 +69,11 @@
         self._running = 0
         self._past: list[tuple[float, int]] = []
 
+    def write_down(self, record: dict[str, Any]) -> None:
+        if self.log is not None:
+            self.log.write(json.dumps(record) + "\n")
+            self.log.flush()
+
     def app(self) -> Starlette:
         return Starlette(
             routes=[
@@ -112,6 +118,7 @@
         opening = opening_of(body["model"], body["messages"])
         run = Run(request_id, self.runner, self.incarnation, self.world.nowMs(), 0, False, service=str(body["model"]))
         self.runs.append(run)
+        self.write_down(vars(run))
         self.note(1)
         try:
             async with self._slots:
@@ -122,6 +129,7 @@
                 await self._stream(run, int(body.get("max_tokens", 20)), send)
         finally:
             self.note(-1)
+            self.write_down(vars(run))
 
     async def _stream(self, run: Run, pieces: int, send: Any) -> None:
         headers = {
@@ -145,6 +153,7 @@
             run.pieces = number
             await self.world.sleep(self.traits.pieceMs)
         run.whole = True
+        self.write_down(vars(run))
         await send({"type": "http.response.body", "body": b"data: [DONE]\n\n", "more_body": False})
 
 
@@ -156,7 +165,9 @@
         request = Request(scope, receive)
         body, requestId = await request.json(), request.headers.get("x-request-id", "")
         if self._runner.refusing:
-            self._runner.refusals.append((requestId, self._runner.world.nowMs()))
+            nowMs = self._runner.world.nowMs()
+            self._runner.refusals.append((requestId, nowMs))
+            self._runner.write_down({"refused": requestId, "incarnation": self._runner.incarnation, "atMs": nowMs})
             names = {"x-runner": self._runner.runner, "x-incarnation": self._runner.incarnation}
             headers = {**names, "x-request-id": requestId, "x-outcome": "not-run"}
             refusal = JSONResponse({"error": "draining"}, 503, headers=headers)
