--- a/src/finchswitch/rehearsal/scenes_plans.py
+++ b/src/finchswitch/rehearsal/scenes_plans.py
@@ -71,6 +71,13 @@
         await theatre.outside.sleep(20)
 
 
+def _expect_steps(theatre: Theatre, seen: list[float]) -> None:
+    """No step of the plan was repeated, skipped or taken back."""
+    expect(theatre, seen == sorted(seen), f"shares only grow: {seen}")
+    steps = {round(after - before, 3) for before, after in zip(seen, seen[1:], strict=False)}
+    expect(theatre, steps <= {0.125}, f"one step after the other: {steps}")
+
+
 @scene
 async def plan_to_the_end(theatre: Theatre) -> None:
     """A plan goes through all its phases while its duty's holders are killed; no step is repeated or skipped."""
@@ -88,9 +95,7 @@
             theatre.start(name)
         await _until(theatre, "done", 30_000)
     expect(theatre, _standing(theatre)[0] == "done", f"the plan is done: {_standing(theatre)}")
-    expect(theatre, seen == sorted(seen), f"shares only grow: {seen}")
-    steps = {round(after - before, 3) for before, after in zip(seen, seen[1:], strict=False)}
-    expect(theatre, steps <= {0.125}, f"one step after the other: {steps}")
+    _expect_steps(theatre, seen)
     doneMs = theatre.nowMs()
     await theatre.call(2_000, 1.0, "-moved")
     for traffic in theatre.deployment.traffic:  # every opening once: which of them are the arriving runner's is by hash
@@ -121,9 +126,7 @@
             theatre.thaw(name)
             theatre.net.heal_all()
         await _until(theatre, "done", 30_000)
-    expect(theatre, seen == sorted(seen), f"shares only grow: {seen}")
-    steps = {round(after - before, 3) for before, after in zip(seen, seen[1:], strict=False)}
-    expect(theatre, steps <= {0.125}, f"one step after the other: {steps}")
+    _expect_steps(theatre, seen)
     await close_up(theatre)
 
 
