Nodes show homes at fixed places of the hash, and mirror compares them

Cause: of what mirror was asked to compare, homes were missing; two nodes with different lists or plans looked alike but for their cause. Ruled out: homes of the openings a node counts, which differ by what each was sent.

--- a/src/finchswitch/constants.py
+++ b/src/finchswitch/constants.py
@@ -71,6 +71,7 @@
 PLAN_STEP_SHARE: Final = 0.125  # of all openings moved by one step
 
 # Affinity
+HOMES_SHOWN: Final = 8  # places of the hash at which a node shows homes; enough to see a plan's share or a lost runner
 HOT_HALF_MS: Final = 5_000  # popularity halves in this time (ours); a crowd must show before its home is full
 HOT_MOST: Final = 4  # openings in a service's hot set (ours); small, as the source has it
 HOT_ENTER_SHARE: Final = 0.4  # of what one home can carry, at which an opening becomes hot (ours)
--- a/src/finchswitch/programs/mirror.py
+++ b/src/finchswitch/programs/mirror.py
@@ -14,7 +14,7 @@
 
 __all__ = ["differences", "mirror"]
 
-_COMPARED = ("generations", "members", "runners", "hot", "plans", "fences")
+_COMPARED = ("generations", "members", "runners", "homes", "hot", "plans", "fences")
 _OWN_SIGHT = ("seats", "openings", "weights")
 
 
--- a/src/finchswitch/transit/doors.py
+++ b/src/finchswitch/transit/doors.py
@@ -8,6 +8,8 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
+from finchswitch.affinity import home_order
+from finchswitch.constants import HOMES_SHOWN
 from finchswitch.transit.call import answer_call
 from finchswitch.transit.node import Node
 
@@ -71,12 +73,22 @@
         "generations": node.news.generations(),
         "members": sorted(each["name"] for each in node.member.members),
         "runners": runners,
+        "homes": {name: _homes(node, name) for name in sorted(creed.services)},
         "hot": {name: node.hot(name) for name in sorted(creed.services)},
         "plans": {name: node.plan_state(name) for name in sorted(creed.plans)},
         "fences": _fences(node),
     }
 
 
+def _homes(node: Node, service: str) -> list[str]:
+    """Where openings live, as this node computes it, at a few places that are the same at every node."""
+    homes = []
+    for place in range(HOMES_SHOWN):
+        able = node.runners_of(service, f"place-{place}")
+        homes.append(home_order(f"place-{place}", able[1])[0] if able and able[1] else "")
+    return homes
+
+
 def _fences(node: Node) -> dict[str, Any]:
     fences: dict[str, Any] = {}
     for part in node.news.generations():
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -21,7 +21,7 @@
     "seeds": ["127.0.0.1:7100", "127.0.0.1:7101", "127.0.0.1:7102"],
 }
 BELIEFS = {"name": "t1", "generations": {"creed": 3}, "members": ["t1"]}
-BELIEFS.update({"runners": {}, "hot": {}, "plans": {}, "fences": {}})
+BELIEFS.update({"runners": {}, "homes": {"m": ["r1"]}, "hot": {}, "plans": {}, "fences": {}})
 
 
 @pytest.mark.parametrize(
@@ -97,6 +97,8 @@
     assert RUN.invoke(app, ["mirror", str(one), str(one)]).exit_code == 0
     differing = RUN.invoke(app, ["mirror", str(one), str(two)])
     assert differing.exit_code == 1 and "generations.creed: 3 / 4" in differing.stdout
+    two.write_text(json.dumps({**BELIEFS, "homes": {"m": ["r2"]}}))
+    assert "homes.m: ['r1'] / ['r2']" in RUN.invoke(app, ["mirror", str(one), str(two)]).stdout
     assert RUN.invoke(app, ["mirror", str(one), str(broken)]).exit_code == 2
     assert RUN.invoke(app, ["mirror", str(one), "127.0.0.1:1"]).exit_code == 3
 
