A service's binding is looked up, not searched for at each call

Cause, found by reading the whole change: counting an opening, granting and the last check each went through all bindings for every call, thousands in a large configuration; a checked one has one binding a service at the most, so the node indexes them when it reads a generation. The floor in measure was worked out by two copies of one sum.

--- a/src/finchswitch/rehearsal/measure.py
+++ b/src/finchswitch/rehearsal/measure.py
@@ -9,7 +9,7 @@
 from finchswitch.affinity import Beliefs, Draws
 from finchswitch.rehearsal.checkers import judge
 from finchswitch.rehearsal.deployments import DEPLOYMENTS, Deployment
-from finchswitch.rehearsal.history import History
+from finchswitch.rehearsal.history import History, RunSeen
 from finchswitch.rehearsal.play import play
 from finchswitch.rehearsal.report import make_report
 from finchswitch.rehearsal.rivals import RIVALS
@@ -94,9 +94,11 @@
     warm = [call for call in history.calls if call.askedMs >= first + 1000 * trial.warmS]
     began = {call.requestId for call in warm}
     warm_runs = [run for run in history.runs if run.requestId in began]
-    tokens = {each.service: (each.openingTokens, each.ownTokens) for each in DEPLOYMENTS[trial.deployment].traffic}
-    floor = sum(run.prefillTokens if run.cached else run.prefillTokens - tokens[run.service][0] for run in history.runs)
-    warm_floor = sum(run.prefillTokens - (0 if run.cached else tokens[run.service][0]) for run in warm_runs)
+    tokens = {each.service: each.openingTokens for each in DEPLOYMENTS[trial.deployment].traffic}
+
+    def own(runs: list[RunSeen]) -> int:
+        return sum(run.prefillTokens - (0 if run.cached else tokens[run.service]) for run in runs)
+
     once = sum(each.openings * each.openingTokens for each in DEPLOYMENTS[trial.deployment].traffic)
     runs = Counter(run.runner for run in history.runs)
     mean = sum(runs.values()) / max(1, len(runs))
@@ -106,13 +108,13 @@
         "calls": len(history.calls),
         "hits": report["hit_share"],
         "prefill": report["prefill_tokens"],
-        "floor": floor + once,
+        "floor": own(history.runs) + once,
         "warm": {
             "calls": len(warm),
             "refused": sum(call.status in (429, 503) for call in warm),
             "incomplete": sum(call.outcome != "complete" for call in warm),
             "prefill": sum(run.prefillTokens for run in warm_runs),
-            "floor": warm_floor,
+            "floor": own(warm_runs),
             "firstMs": {name: each["first_ms"] for name, each in make_report(History(calls=warm))["services"].items()},
         },
         "firstMs": firsts,
--- a/src/finchswitch/transit/node.py
+++ b/src/finchswitch/transit/node.py
@@ -52,6 +52,7 @@
         self.stopping = False
         self._popularity: dict[str, Popularity] = {}
         self._creed: tuple[int, Creed] = (-1, Creed())
+        self._bound: dict[str, str] = {}  # the binding of each service; a checked configuration has one at the most
 
     def fresh_id(self) -> str:
         return f"fs-{self.world.chance.randbytes(12).hex()}"
@@ -63,6 +64,7 @@
         """The configuration in effect here, read once a generation."""
         if self._creed[0] != self.generation():
             self._creed = (self.generation(), read_creed(self.news.body(CREED_PART)).value_or(self._creed[1]))
+            self._bound = {binding.service: name for name, binding in self._creed[1].bindings.items()}
         return self._creed[1]
 
     def tries_share(self) -> float:
@@ -96,13 +98,9 @@
     def count_opening(self, opening: Opening) -> None:
         """Count a prompt by what it takes of a home, served or not: its own prefill, or its part of the slots."""
         creed = self.creed()
-        bound = [
-            creed.runners[name]
-            for each in creed.bindings.values()
-            for name in each.runners
-            if each.service == opening.service
-        ]
-        if bound:
+        name = self._bound.get(opening.service)
+        if name is not None:
+            bound = [creed.runners[each] for each in creed.bindings[name].runners]
             prefillMs = 1000 * opening.ownTokens / min(each.prefillTokensPerS for each in bound)
             slotMs = self.burdens.serviceMs(opening.service) / min(each.slots for each in bound)
             self.popularity(opening.service).count(opening.digest, max(prefillMs, slotMs), self.world.nowMs())
@@ -118,21 +116,21 @@
     def runners_of(self, service: str, digest: str) -> tuple[list[str], list[str]] | None:
         """The runners that may serve a service now, and those that own the opening; None without a binding."""
         creed = self.creed()
-        for name, binding in creed.bindings.items():
-            if binding.service != service:
-                continue
-            for planName, plan in creed.plans.items():
-                if name in plan.bindings:
-                    held = self.plan_state(planName)
-                    before, after, share = runners_under(plan, binding.runners, held)
-                    phase = PlanPhase(held["phase"]) if held else PlanPhase.WAITING
-                    if phase in (PlanPhase.WAITING, PlanPhase.RETURNED):
-                        return before, before
-                    if phase in (PlanPhase.DRAINING, PlanPhase.DONE):
-                        return after, after
-                    return sorted({*before, *after}), owners(digest, before, after, share)
-            return binding.runners, binding.runners
-        return None
+        name = self._bound.get(service)
+        if name is None:
+            return None
+        binding = creed.bindings[name]
+        for planName, plan in creed.plans.items():
+            if name in plan.bindings:
+                held = self.plan_state(planName)
+                before, after, share = runners_under(plan, binding.runners, held)
+                phase = PlanPhase(held["phase"]) if held else PlanPhase.WAITING
+                if phase in (PlanPhase.WAITING, PlanPhase.RETURNED):
+                    return before, before
+                if phase in (PlanPhase.DRAINING, PlanPhase.DONE):
+                    return after, after
+                return sorted({*before, *after}), owners(digest, before, after, share)
+        return binding.runners, binding.runners
 
     def grant(self, prompt: Prompt, tried: set[str], beganMs: float) -> tuple[Drawn, float] | Refusal:
         """A seat for the prompt and the time left until its due, or why there is none."""
