--- a/src/finchswitch/accord/acceptor.py
+++ b/src/finchswitch/accord/acceptor.py
@@ -78,9 +78,9 @@
         return {"yes": True, "promised": self.promised, "lacks": False}
 
     def _keep(self, promised: Ballot, ballot: Ballot, document: Document | None) -> None:
-        before = self._world.nowMs()
+        before = self._world.now_ms()
         self._shelf.put({"promised": promised, "ballot": ballot, "document": document})
-        tookMs = self._world.nowMs() - before
+        took_ms = self._world.now_ms() - before
         self.promised, self.ballot, self.document = promised, ballot, document
-        if tookMs > SHELF_SLOW_MS:
-            raise Mishap(MishapKind.FULL, "sync", self._part, f"took {tookMs:.0f} ms, too slow for a yes")
+        if took_ms > SHELF_SLOW_MS:
+            raise Mishap(MishapKind.FULL, "sync", self._part, f"took {took_ms:.0f} ms, too slow for a yes")
--- a/src/finchswitch/accord/asks.py
+++ b/src/finchswitch/accord/asks.py
@@ -66,16 +66,16 @@
 
 
 def _session_beat(council: Council, asked: Asked) -> Message:
-    body, nowMs = asked.body, council.world.nowMs()
+    body, now_ms = asked.body, council.world.now_ms()
     beat = {key: field(body, key, str, asked.peer) for key in ("address", "http", "district", "incarnation")}
     generations = field(body, "generations", dict, asked.peer)
     name = field(body, "name", str, asked.peer)
-    if council.sessions.beat(name, {**beat, "generations": generations}, asked.peer, nowMs):
+    if council.sessions.beat(name, {**beat, "generations": generations}, asked.peer, now_ms):
         council.tempo.kick()
-    alive = [kin.address for kin in council.kindred.alive(nowMs)]
+    alive = [kin.address for kin in council.kindred.alive(now_ms)]
     return {
-        "current": council.current(CREED_PART, nowMs),
+        "current": council.current(CREED_PART, now_ms),
         "generations": council.news.generations(),
         "controls": sorted({council.startup.address, *alive}),
-        "members": council.sessions.members(nowMs),
+        "members": council.sessions.members(now_ms),
     }
--- a/src/finchswitch/accord/change.py
+++ b/src/finchswitch/accord/change.py
@@ -50,9 +50,9 @@
         return _answer(422, wrong=wrong)
     if len(json.dumps(change)) > CHANGE_MOST_BYTES:
         return _answer(413, reason=f"a change may have {CHANGE_MOST_BYTES} bytes")
-    untilMs = council.world.nowMs() + OWNER_WAIT_MS
+    until_ms = council.world.now_ms() + OWNER_WAIT_MS
     while True:
-        owner, _ = council.owner_of(CREED_PART, council.world.nowMs())
+        owner, _ = council.owner_of(CREED_PART, council.world.now_ms())
         if owner == council.store.store:
             return await _as_owner(council, change)
         if owner and change.get("passed") is not True:
@@ -64,7 +64,7 @@
                 if mishap.reason == "connection refused":
                     return _answer(503, reason="the owner is gone; surely not taken")
                 return _answer(504, reason="the owner did not answer; ask again with the same change id")
-        if council.world.nowMs() > untilMs:
+        if council.world.now_ms() > until_ms:
             return _answer(503, reason="no owner for the configuration; surely not taken")
         await council.world.sleep(DELIVERY_LOOK_MS)
 
@@ -127,13 +127,13 @@
 
 
 async def _delivered(council: Council, generation: int) -> Message:
-    untilMs = council.world.nowMs() + DELIVERY_WAIT_MS
+    until_ms = council.world.now_ms() + DELIVERY_WAIT_MS
     while True:
-        nowMs = council.world.nowMs()
-        lacking, known = council.sessions.lacking(CREED_PART, generation, nowMs)
+        now_ms = council.world.now_ms()
+        lacking, known = council.sessions.lacking(CREED_PART, generation, now_ms)
         if not lacking:
             return _answer(200, generation=generation, nodes=known)
-        if nowMs > untilMs:
+        if now_ms > until_ms:
             return _answer(202, generation=generation, lacking=lacking)
         await council.world.sleep(DELIVERY_LOOK_MS)
 
@@ -143,7 +143,7 @@
     part = field(body, "part", str)
     if part == CREED_PART or part not in council.registers:
         raise Mishap.refused("edit", part, "no such part for ledgers")
-    owner, _ = council.owner_of(part, council.world.nowMs())
+    owner, _ = council.owner_of(part, council.world.now_ms())
     if owner != council.store.store:
         if not owner or body.get("passed") is True:
             raise Mishap.refused("edit", part, "no owner here")
@@ -171,7 +171,7 @@
 
 async def confirm_current(council: Council, passed: bool = False) -> Message:
     """The configuration as a majority confirms it to be the newest, or 503 when no owner can say so."""
-    owner, _ = council.owner_of(CREED_PART, council.world.nowMs())
+    owner, _ = council.owner_of(CREED_PART, council.world.now_ms())
     register = council.registers[CREED_PART]
     if owner and owner != council.store.store and not passed:
         try:
--- a/src/finchswitch/accord/council.py
+++ b/src/finchswitch/accord/council.py
@@ -33,7 +33,7 @@
 class Council:
     def __init__(self, world: World, disk: Disk, startup: Any, group: TaskGroup) -> None:
         self.world, self.startup, self.group = world, startup, group
-        self.startedMs = world.nowMs()
+        self.started_ms = world.now_ms()
         self.store = Store(world, disk, startup.name)
         self.kindred = Kindred(startup.address, startup.seeds)
         self.sessions = Sessions()
@@ -62,46 +62,46 @@
             if store != self.store.store:
                 self.chamber.later(store, "vote.commit", body, ASK_WAIT_MS, back)
 
-    def owner_of(self, part: str, nowMs: float) -> tuple[str, Ballot]:
+    def owner_of(self, part: str, now_ms: float) -> tuple[str, Ballot]:
         """The store that claims the part by the highest ballot, among those alive; empty when none does."""
         best: tuple[Ballot, str] = ((0, ""), "")
         if self.registers[part].owns():
             best = (self.registers[part].ballot, self.store.store)
-        for kin in self.kindred.alive(nowMs):
+        for kin in self.kindred.alive(now_ms):
             if part in kin.owns:
                 best = max(best, (read_ballot(kin.owns[part]["ballot"]), kin.store))
         return best[1], best[0]
 
-    def confirmed(self, part: str, nowMs: float) -> bool:
+    def confirmed(self, part: str, now_ms: float) -> bool:
         """As owner: whether a majority lately answered that no higher ballot is promised there."""
         register = self.registers[part]
         if not register.owns() or register.document is None:
             return False
         yes = {self.store.store} if self.store.acceptors[part].promised == register.ballot else set[str]()
         for kin in self.kindred.by_store.values():
-            lately = nowMs - kin.askedMs <= CONTROL_SILENT_MS
+            lately = now_ms - kin.asked_ms <= CONTROL_SILENT_MS
             if lately and kin.promised.get(part) == register.ballot:
                 yes.add(kin.store)
         return majority(yes, register.document["group"], register.document["former"])
 
-    def current(self, part: str, nowMs: float) -> bool:
+    def current(self, part: str, now_ms: float) -> bool:
         """Whether what this node holds of a part is lately known to be the newest."""
         document = self.registers[part].document
-        if document is not None and self.confirmed(part, nowMs):
+        if document is not None and self.confirmed(part, now_ms):
             return bool(document["generation"] <= self.news.generation(part))
         for kin in self.kindred.by_store.values():
             claim = kin.owns.get(part)
-            if claim and claim["confirmed"] and nowMs - kin.askedMs <= CONTROL_SILENT_MS:
+            if claim and claim["confirmed"] and now_ms - kin.asked_ms <= CONTROL_SILENT_MS:
                 return bool(claim["generation"] <= self.news.generation(part))
         return False
 
     def beat_body(self) -> Message:
-        nowMs = self.world.nowMs()
+        now_ms = self.world.now_ms()
         owns = {
             part: {
                 "ballot": register.ballot,
                 "generation": register.document["generation"],
-                "confirmed": self.confirmed(part, nowMs),
+                "confirmed": self.confirmed(part, now_ms),
             }
             for part, register in self.registers.items()
             if register.owns() and register.document is not None
@@ -113,20 +113,20 @@
             "http": self.startup.http,
             "fleet": self.store.fleet,
             "founders": self.store.founders,
-            "sees": sorted({self.store.store, *(each.store for each in self.kindred.alive(nowMs))}),
+            "sees": sorted({self.store.store, *(each.store for each in self.kindred.alive(now_ms))}),
             "owns": owns,
             "promised": {part: each.promised for part, each in self.store.acceptors.items()},
             "generations": self.news.generations(),
-            "sessions": self.sessions.own(nowMs),
+            "sessions": self.sessions.own(now_ms),
         }
 
-    def hear_kin(self, body: Message, peer: str, askedMs: float | None) -> None:
-        kin, nowMs = Kin.read(body, peer), self.world.nowMs()
+    def hear_kin(self, body: Message, peer: str, asked_ms: float | None) -> None:
+        kin, now_ms = Kin.read(body, peer), self.world.now_ms()
         foreign = kin.fleet and self.store.fleet and kin.fleet != self.store.fleet
         if kin.store == self.store.store or foreign:
             return
-        self.kindred.heard(kin, nowMs, askedMs)
-        self.sessions.told(kin.store, kin.sessions, nowMs)
+        self.kindred.heard(kin, now_ms, asked_ms)
+        self.sessions.told(kin.store, kin.sessions, now_ms)
         for part, register in self.registers.items():
             register.highest = max(register.highest, kin.promised.get(part, (0, ""))[0])
             if register.owns() and part in kin.owns and read_ballot(kin.owns[part]["ballot"]) > register.ballot:
@@ -134,13 +134,13 @@
 
     async def beat_all(self) -> None:
         while True:
-            self.kindred.forget_silent(self.startup.seeds, self.world.nowMs())
+            self.kindred.forget_silent(self.startup.seeds, self.world.now_ms())
             for address in sorted(self.kindred.addresses):
                 self.group.start_soon(self._beat_one, address)
             await self.tempo.pause(BEAT_MS)
 
     async def _beat_one(self, address: str) -> None:
-        askedMs = self.world.nowMs()
+        asked_ms = self.world.now_ms()
         try:
             if address in self.kindred.routing or address not in self.kindred.met:
                 await self._ask_who(address)
@@ -149,7 +149,7 @@
             answer = await self.book.ask(address, "kin.beat", self.beat_body(), CONTROL_SILENT_MS)
             have = self.news.generations()
             with reading("beat", address):
-                self.hear_kin(answer, address, askedMs)
+                self.hear_kin(answer, address, asked_ms)
                 behind = any(generation > have.get(part, -1) for part, generation in answer["generations"].items())
             if behind:
                 followed = await self.book.ask(address, "news.follow", {"have": have, "holdMs": 0})
--- a/src/finchswitch/accord/desk.py
+++ b/src/finchswitch/accord/desk.py
@@ -40,7 +40,7 @@
     async def configuration(request: Request) -> Response:
         if request.query_params.get("current") == "true":
             return _json(council, await confirm_current(council))
-        current = council.current(CREED_PART, council.world.nowMs())
+        current = council.current(CREED_PART, council.world.now_ms())
         body = {"generation": council.news.generation(CREED_PART), "current": current}
         return JSONResponse({**body, "configuration": council.news.body(CREED_PART)})
 
@@ -60,7 +60,7 @@
         return JSONResponse({"plans": gathered(council, "plans"), "hot": gathered(council, "hot")})
 
     async def ready(request: Request) -> Response:
-        current = council.current(CREED_PART, council.world.nowMs())
+        current = council.current(CREED_PART, council.world.now_ms())
         return JSONResponse({"ready": current, "store": council.store.state.value}, 200 if current else 503)
 
     return Starlette(
@@ -86,7 +86,7 @@
 async def forget_everywhere(council: Council, name: str) -> bool:
     """Tell every control node that a dark routing node is gone; whether any held it."""
     forgotten = council.sessions.forget(name)
-    for kin in council.kindred.alive(council.world.nowMs()):
+    for kin in council.kindred.alive(council.world.now_ms()):
         try:
             answer = await council.book.ask(kin.address, "session.forget", {"name": name})
             forgotten = forgotten or answer.get("forgotten") is True
@@ -106,10 +106,10 @@
 
 
 def _members(council: Council) -> dict[str, Any]:
-    nowMs = council.world.nowMs()
+    now_ms = council.world.now_ms()
     controls = [
         {"name": kin.name, "address": kin.address, "http": kin.http, "store": kin.store, "alive": kin in alive}
-        for alive in [council.kindred.alive(nowMs)]
+        for alive in [council.kindred.alive(now_ms)]
         for kin in council.kindred.by_store.values()
     ]
     own = {"name": council.startup.name, "address": council.startup.address, "http": council.startup.http}
@@ -117,14 +117,14 @@
     return {
         "fleet": council.store.fleet,
         "controls": sorted(controls, key=lambda each: str(each["name"])),
-        "nodes": council.sessions.all(nowMs),
+        "nodes": council.sessions.all(now_ms),
     }
 
 
 def _parts(council: Council) -> dict[str, Any]:
-    nowMs, shown = council.world.nowMs(), {}
+    now_ms, shown = council.world.now_ms(), {}
     for part in part_names():
-        owner, ballot = council.owner_of(part, nowMs)
+        owner, ballot = council.owner_of(part, now_ms)
         document = council.store.acceptors[part].document
         shown[part] = {
             "owner": owner,
--- a/src/finchswitch/accord/register.py
+++ b/src/finchswitch/accord/register.py
@@ -42,9 +42,9 @@
 
 
 class Voters(Protocol):
-    async def vote(self, store: str, kind: str, body: Message, waitMs: float) -> Message: ...
+    async def vote(self, store: str, kind: str, body: Message, wait_ms: float) -> Message: ...
 
-    def later(self, store: str, kind: str, body: Message, waitMs: float, back: Any) -> None:
+    def later(self, store: str, kind: str, body: Message, wait_ms: float, back: Any) -> None:
         """Ask in the background; ``back`` is a memory stream that gets (store, answer or None)."""
 
 
@@ -67,7 +67,7 @@
         self.ballot: Ballot = (0, "")
         self.highest = 0  # highest ballot number seen anywhere
         self.document: Document | None = None
-        self._foundBallot: Ballot = (0, "")
+        self._found_ballot: Ballot = (0, "")
         self._left_out: tuple[Ballot, int] = ((0, ""), -1)  # of the newest found whose group lacks this store
 
     @property
@@ -96,7 +96,7 @@
                 return False
             self._walker.take(OwnEvent.ELECTED)
             if self._store not in found["group"]:
-                self._left_out = max(self._left_out, (self._foundBallot, found["step"]))
+                self._left_out = max(self._left_out, (self._found_ballot, found["step"]))
                 self.step_down("This store is not of the group that was found.")
                 return False
             if not await self._accept(found, None):
@@ -143,7 +143,7 @@
 
     async def _elect(self, known: Document) -> Document | None:
         body = {"part": self.part, "ballot": self.ballot}
-        best, bestBallot = known, (0, "")
+        best, best_ballot = known, (0, "")
         yes: set[str] = set()
         asked: set[str] = set()
         answered = 0
@@ -163,10 +163,10 @@
                 if answer["yes"] is not True:
                     return None
                 yes.add(store)
-                held, heldBallot = answer["document"], read_ballot(answer["ballot"])
-                if (heldBallot, held["step"]) >= (bestBallot, best["step"]):
-                    best, bestBallot = held, heldBallot
-            self._foundBallot = bestBallot
+                held, held_ballot = answer["document"], read_ballot(answer["ballot"])
+                if (held_ballot, held["step"]) >= (best_ballot, best["step"]):
+                    best, best_ballot = held, held_ballot
+            self._found_ballot = best_ballot
             return best
         return None
 
--- a/src/finchswitch/accord/tending.py
+++ b/src/finchswitch/accord/tending.py
@@ -37,11 +37,11 @@
 async def tend_node(council: "Council") -> None:
     """Age the sessions, found or join a fleet, and see which dark nodes are surely gone."""
     while True:
-        nowMs = council.world.nowMs()
-        council.sessions.age(nowMs)
+        now_ms = council.world.now_ms()
+        council.sessions.age(now_ms)
         if not council.store.fleet:
-            _found_or_join(council, nowMs)
-        for each in council.sessions.own(nowMs):
+            _found_or_join(council, now_ms)
+        for each in council.sessions.own(now_ms):
             if each["state"] == "dark" and each["ageMs"] > SESSION_SILENT_MS:
                 try:
                     await council.book.ask(each["address"], "peer.who", {}, BEAT_MS)
@@ -51,8 +51,8 @@
         await council.world.sleep(BEAT_MS / 4)
 
 
-def _found_or_join(council: "Council", nowMs: float) -> None:
-    store, alive = council.store, council.kindred.alive(nowMs)
+def _found_or_join(council: "Council", now_ms: float) -> None:
+    store, alive = council.store, council.kindred.alive(now_ms)
     try:
         for kin in alive:
             if kin.fleet and store.store in kin.founders:
@@ -68,18 +68,18 @@
 
 async def tend_part(council: "Council", part: str) -> None:
     """One part's care, as a loop of its own."""
-    register, world, ownedMs = council.registers[part], council.world, council.world.nowMs()
+    register, world, owned_ms = council.registers[part], council.world, council.world.now_ms()
     while True:
         await world.sleep(BEAT_MS / 4)
         document = council.store.acceptors[part].document
-        if council.owner_of(part, world.nowMs())[0]:
-            ownedMs = world.nowMs()
+        if council.owner_of(part, world.now_ms())[0]:
+            owned_ms = world.now_ms()
         if document is None or council.store.state is not StoreState.VOTING:
             continue
         try:
             if register.owns():
-                await _swap_silent(council, part, world.nowMs())
-            elif _should_stand(council, part, document, world.nowMs(), ownedMs):
+                await _swap_silent(council, part, world.now_ms())
+            elif _should_stand(council, part, document, world.now_ms(), owned_ms):
                 if await register.stand(document):
                     council.announce(part)
                 else:
@@ -89,29 +89,29 @@
             _log.warning("Tending {} met a mishap. {}", part, mishap)
 
 
-def _should_stand(council: "Council", part: str, document: Document, nowMs: float, ownedMs: float) -> bool:
-    if council.owner_of(part, nowMs)[0] or council.store.store not in document["group"]:
+def _should_stand(council: "Council", part: str, document: Document, now_ms: float, owned_ms: float) -> bool:
+    if council.owner_of(part, now_ms)[0] or council.store.store not in document["group"]:
         return False
     if council.registers[part].left_out(council.store.acceptors[part].ballot, document["step"]):
         return False
-    seen = {council.store.store, *(kin.store for kin in council.kindred.alive(nowMs))}
+    seen = {council.store.store, *(kin.store for kin in council.kindred.alive(now_ms))}
     here = [store for store in _order(part, document["group"]) if store in seen]
-    turnMs = ownedMs + STAND_TURN_MS * here.index(council.store.store)
-    return 2 * len(here) > len(document["group"]) and nowMs >= turnMs
+    turn_ms = owned_ms + STAND_TURN_MS * here.index(council.store.store)
+    return 2 * len(here) > len(document["group"]) and now_ms >= turn_ms
 
 
-async def _swap_silent(council: "Council", part: str, nowMs: float) -> None:
+async def _swap_silent(council: "Council", part: str, now_ms: float) -> None:
     register = council.registers[part]
     document = register.document
-    if document is None or nowMs - council.startedMs < REPLACE_AFTER_MS:
+    if document is None or now_ms - council.started_ms < REPLACE_AFTER_MS:
         return
     if document["former"] != document["group"]:  # a swap is over only when the former group is asked no more
         await register.commit(document, succeed(document, document["body"], None, document["group"]))
         council.announce(part)
         return
     group, own = document["group"], council.store.store
-    silent = [s for s in group if s != own and council.kindred.silentMs(s, nowMs) > REPLACE_AFTER_MS]
-    spares = [kin.store for kin in council.kindred.alive(nowMs) if kin.store not in group and kin.fleet]
+    silent = [s for s in group if s != own and council.kindred.silent_ms(s, now_ms) > REPLACE_AFTER_MS]
+    spares = [kin.store for kin in council.kindred.alive(now_ms) if kin.store not in group and kin.fleet]
     if not silent or not spares:
         return
     body = {"part": part, "ballot": register.ballot, "document": document}
--- a/src/finchswitch/accord/voting.py
+++ b/src/finchswitch/accord/voting.py
@@ -42,22 +42,22 @@
     def __init__(self, store: Store, kindred: Kindred, book: Book, group: TaskGroup) -> None:
         self._store, self._kindred, self._book, self._group = store, kindred, book, group
 
-    async def vote(self, store: str, kind: str, body: Message, waitMs: float) -> Message:
+    async def vote(self, store: str, kind: str, body: Message, wait_ms: float) -> Message:
         body = {**body, "fleet": self._store.fleet, "store": store}
         if store == self._store.store:
             return self.answer(kind, body)
         kin = self._kindred.by_store.get(store)
         if kin is None:
             raise Mishap.silent(kind, store, "its address is not known")
-        return await self._book.ask(kin.address, kind, body, waitMs)
+        return await self._book.ask(kin.address, kind, body, wait_ms)
 
-    def later(self, store: str, kind: str, body: Message, waitMs: float, back: Any) -> None:
-        self._group.start_soon(self._vote_back, store, kind, body, waitMs, back)
+    def later(self, store: str, kind: str, body: Message, wait_ms: float, back: Any) -> None:
+        self._group.start_soon(self._vote_back, store, kind, body, wait_ms, back)
 
-    async def _vote_back(self, store: str, kind: str, body: Message, waitMs: float, back: Any) -> None:
+    async def _vote_back(self, store: str, kind: str, body: Message, wait_ms: float, back: Any) -> None:
         answer: Message | None = None
         try:
-            answered = await self.vote(store, kind, body, waitMs)
+            answered = await self.vote(store, kind, body, wait_ms)
             with reading(kind, store):
                 _check(kind, answered)
             answer = answered
--- a/src/finchswitch/affinity/beliefs.py
+++ b/src/finchswitch/affinity/beliefs.py
@@ -14,8 +14,8 @@
 
 
 class Beliefs:
-    def __init__(self, keptMs: float = BELIEF_MS) -> None:
-        self._keptMs = keptMs
+    def __init__(self, kept_ms: float = BELIEF_MS) -> None:
+        self._kept_ms = kept_ms
         self._kept: dict[str, OrderedDict[str, float]] = {}
         self._weights: dict[str, str] = {}
         self._coming: dict[tuple[str, str], int] = {}
@@ -25,7 +25,7 @@
     def granted(self, incarnation: str, opening: Opening) -> None:
         """A prompt is on its way; what follows it there finds the opening prefilled, or waits for the same prefill."""
         digest = opening.digest
-        if opening.openingTokens >= TOLD_TOKENS:
+        if opening.opening_tokens >= TOLD_TOKENS:
             large = self._large.setdefault(incarnation, OrderedDict())
             large[digest] = None
             large.move_to_end(digest)
@@ -39,10 +39,10 @@
         if left:
             self._coming[incarnation, digest] = left
 
-    def sent(self, incarnation: str, digest: str, nowMs: float) -> None:
+    def sent(self, incarnation: str, digest: str, now_ms: float) -> None:
         """A runner began to answer a prompt with this opening."""
         kept = self._kept.setdefault(incarnation, OrderedDict())
-        kept[digest] = nowMs
+        kept[digest] = now_ms
         kept.move_to_end(digest)
         if len(kept) > BELIEFS_MOST:
             kept.popitem(last=False)
@@ -55,15 +55,15 @@
             self._large.pop(incarnation, None)
         self._weights[incarnation] = weights
 
-    def holds(self, incarnation: str, digest: str, nowMs: float) -> bool:
-        return (incarnation, digest) in self._told or self._own(incarnation, digest, nowMs)
+    def holds(self, incarnation: str, digest: str, now_ms: float) -> bool:
+        return (incarnation, digest) in self._told or self._own(incarnation, digest, now_ms)
 
-    def _own(self, incarnation: str, digest: str, nowMs: float) -> bool:
+    def _own(self, incarnation: str, digest: str, now_ms: float) -> bool:
         if (incarnation, digest) in self._coming:
             return True
         kept = self._kept.get(incarnation)
-        atMs = kept.get(digest) if kept else None
-        return atMs is not None and nowMs - atMs <= self._keptMs
+        at_ms = kept.get(digest) if kept else None
+        return at_ms is not None and now_ms - at_ms <= self._kept_ms
 
     def weights(self, incarnation: str) -> str:
         return self._weights.get(incarnation, "")
@@ -73,10 +73,10 @@
         self._large.pop(incarnation, None)
         self._weights.pop(incarnation, None)
 
-    def spoken(self, nowMs: float) -> dict[str, list[Any]]:
+    def spoken(self, now_ms: float) -> dict[str, list[Any]]:
         """The large openings believed held or coming, for peers: by incarnation, under which weights."""
         return {
-            incarnation: [self.weights(incarnation), [each for each in large if self._own(incarnation, each, nowMs)]]
+            incarnation: [self.weights(incarnation), [each for each in large if self._own(incarnation, each, now_ms)]]
             for incarnation, large in self._large.items()
         }
 
--- a/src/finchswitch/affinity/burden.py
+++ b/src/finchswitch/affinity/burden.py
@@ -24,115 +24,115 @@
         self._peer_seats: dict[str, float] = {}
         self._peer_waiting: dict[str, list[Pending]] = {}
         self._heads: dict[str, float] = {}
-        self._msAToken: dict[str, float] = {}
-        self._turnedMs: dict[str, float] = {}
+        self._ms_a_token: dict[str, float] = {}
+        self._turned_ms: dict[str, float] = {}
         self._reports: dict[str, tuple[float, float]] = {}
-        self._seatMs: dict[str, float] = {}
-        self._serviceMs: dict[str, float] = {}
+        self._seat_ms: dict[str, float] = {}
+        self._service_ms: dict[str, float] = {}
 
-    def take(self, seat: object, incarnation: str, prefillTokens: float, msAToken: float, nowMs: float) -> None:
+    def take(self, seat: object, incarnation: str, prefill_tokens: float, ms_a_token: float, now_ms: float) -> None:
         self._seats[incarnation] = self._seats.get(incarnation, 0) + 1
-        self._waiting.setdefault(incarnation, {})[seat] = (nowMs, prefillTokens)
-        self._heads.setdefault(incarnation, nowMs)
-        self._msAToken[incarnation] = msAToken
+        self._waiting.setdefault(incarnation, {})[seat] = (now_ms, prefill_tokens)
+        self._heads.setdefault(incarnation, now_ms)
+        self._ms_a_token[incarnation] = ms_a_token
 
-    def begun(self, seat: object, incarnation: str, nowMs: float) -> None:
+    def begun(self, seat: object, incarnation: str, now_ms: float) -> None:
         """The first token came, or never will."""
         mine, pending = self._waiting[incarnation].pop(seat, None), self._pending(incarnation)
         if mine is None:
             return
         if not pending or mine < pending[0]:
-            self.paces.saw(incarnation, self._ratio(incarnation, mine, nowMs), nowMs)
-        self._look_at_head(incarnation, nowMs)
+            self.paces.saw(incarnation, self._ratio(incarnation, mine, now_ms), now_ms)
+        self._look_at_head(incarnation, now_ms)
 
-    def free(self, incarnation: str, service: str, tookMs: float) -> None:
+    def free(self, incarnation: str, service: str, took_ms: float) -> None:
         self._seats[incarnation] -= 1
-        for means, key in ((self._seatMs, incarnation), (self._serviceMs, service)):
-            before = means.get(key, tookMs)
-            means[key] = before + SMOOTH_SHARE * (tookMs - before)
+        for means, key in ((self._seat_ms, incarnation), (self._service_ms, service)):
+            before = means.get(key, took_ms)
+            means[key] = before + SMOOTH_SHARE * (took_ms - before)
 
     def busy(self, incarnation: str) -> bool:
         return self._seats.get(incarnation, 0) > 0
 
     def forget(self, incarnation: str) -> None:
-        kept: tuple[dict[str, Any], ...] = (self._seats, self._waiting, self._reports, self._seatMs)
-        for each in (*kept, self._heads, self._turnedMs, self._msAToken):
+        kept: tuple[dict[str, Any], ...] = (self._seats, self._waiting, self._reports, self._seat_ms)
+        for each in (*kept, self._heads, self._turned_ms, self._ms_a_token):
             each.pop(incarnation, None)
         self.paces.forget(incarnation)
 
-    def spoken(self, nowMs: float) -> dict[str, list[Any]]:
+    def spoken(self, now_ms: float) -> dict[str, list[Any]]:
         """Own burden, in the form in which peers are told: seats, and for each that waits its age and tokens."""
         return {
             incarnation: [
                 seats,
-                [[round(nowMs - atMs), tokens] for atMs, tokens in self._waiting.get(incarnation, {}).values()],
+                [[round(now_ms - at_ms), tokens] for at_ms, tokens in self._waiting.get(incarnation, {}).values()],
             ]
             for incarnation, seats in self._seats.items()
             if seats
         }
 
-    def hear_peers(self, beats: list[dict[str, Any]], nowMs: float) -> None:
+    def hear_peers(self, beats: list[dict[str, Any]], now_ms: float) -> None:
         self._peer_seats, self._peer_waiting = {}, {}
         self.paces.hear_peers(beats)
         for beat in beats:
             for incarnation, (seats, waiting) in beat["burden"].items():
                 self._peer_seats[incarnation] = self._peer_seats.get(incarnation, 0.0) + seats
                 pending = self._peer_waiting.setdefault(incarnation, [])
-                pending.extend((beat["heardMs"] - ageMs, tokens) for ageMs, tokens in waiting)
+                pending.extend((beat["heardMs"] - age_ms, tokens) for age_ms, tokens in waiting)
         for incarnation in sorted({*self._heads, *self._peer_waiting}):
-            self._look_at_head(incarnation, nowMs)
+            self._look_at_head(incarnation, now_ms)
 
     def _pending(self, incarnation: str) -> list[Pending]:
         return sorted([*self._waiting.get(incarnation, {}).values(), *self._peer_waiting.get(incarnation, ())])
 
-    def _ratio(self, incarnation: str, head: Pending, nowMs: float) -> float:
-        tookMs = nowMs - max(head[0], self._turnedMs.get(incarnation, -1e18))
-        return ratio_of(tookMs, head[1] * self._msAToken.get(incarnation, 0.0))
+    def _ratio(self, incarnation: str, head: Pending, now_ms: float) -> float:
+        took_ms = now_ms - max(head[0], self._turned_ms.get(incarnation, -1e18))
+        return ratio_of(took_ms, head[1] * self._ms_a_token.get(incarnation, 0.0))
 
-    def pace(self, incarnation: str, nowMs: float) -> float:
+    def pace(self, incarnation: str, now_ms: float) -> float:
         """How much slower than configured the runner is; the prefill that it is at shows it already."""
-        pending, seen = self._pending(incarnation), self.paces.of(incarnation, nowMs)
-        return max(seen, self._ratio(incarnation, pending[0], nowMs)) if pending else seen
+        pending, seen = self._pending(incarnation), self.paces.of(incarnation, now_ms)
+        return max(seen, self._ratio(incarnation, pending[0], now_ms)) if pending else seen
 
-    def _look_at_head(self, incarnation: str, nowMs: float) -> None:
+    def _look_at_head(self, incarnation: str, now_ms: float) -> None:
         """When the oldest seat that waited does so no more, the runner has come to the next."""
         pending, before = self._pending(incarnation), self._heads.pop(incarnation, None)
         if pending:
             self._heads[incarnation] = pending[0][0]
         if before is not None and (not pending or pending[0][0] > before + HEAD_SAME_MS):
-            self._turnedMs[incarnation] = nowMs
+            self._turned_ms[incarnation] = now_ms
 
-    def report(self, incarnation: str, running: float, atMs: float) -> None:
-        self._reports[incarnation] = (running, atMs)
+    def report(self, incarnation: str, running: float, at_ms: float) -> None:
+        self._reports[incarnation] = (running, at_ms)
 
-    def seats(self, incarnation: str, nowMs: float) -> float:
+    def seats(self, incarnation: str, now_ms: float) -> float:
         """Seats in use, as far as known."""
         known = self._seats.get(incarnation, 0) + self._peer_seats.get(incarnation, 0.0)
-        running, atMs = self._reports.get(incarnation, (0.0, -1e18))
-        if nowMs - atMs <= VITALS_OLD_MS and running > known:
+        running, at_ms = self._reports.get(incarnation, (0.0, -1e18))
+        if now_ms - at_ms <= VITALS_OLD_MS and running > known:
             known += REPORT_TRUST_SHARE * (running - known)
         return known
 
-    def backlogMs(self, incarnation: str, msAToken: float, nowMs: float) -> float:
+    def backlog_ms(self, incarnation: str, ms_a_token: float, now_ms: float) -> float:
         """How long the runner still has to prefill for the seats that wait there already.
 
         >>> burdens = Burdens()
         >>> burdens.take("a", "r", 1000, 1.0, 0.0)
         >>> burdens.take("b", "r", 500, 1.0, 100.0)
-        >>> burdens.backlogMs("r", 1.0, 400.0)
+        >>> burdens.backlog_ms("r", 1.0, 400.0)
         1100.0
         >>> burdens.begun("a", "r", 1050.0)
-        >>> burdens.backlogMs("r", 1.0, 1150.0)
+        >>> burdens.backlog_ms("r", 1.0, 1150.0)
         400.0
         """
-        doneMs = self._turnedMs.get(incarnation, -1e18)
-        for atMs, tokens in self._pending(incarnation):
-            doneMs = max(doneMs, atMs) + tokens * msAToken
-        return max(0.0, doneMs - nowMs)
+        done_ms = self._turned_ms.get(incarnation, -1e18)
+        for at_ms, tokens in self._pending(incarnation):
+            done_ms = max(done_ms, at_ms) + tokens * ms_a_token
+        return max(0.0, done_ms - now_ms)
 
-    def seatMs(self, incarnation: str) -> float:
-        return self._seatMs.get(incarnation, SEAT_MS)
+    def seat_ms(self, incarnation: str) -> float:
+        return self._seat_ms.get(incarnation, SEAT_MS)
 
-    def serviceMs(self, service: str) -> float:
+    def service_ms(self, service: str) -> float:
         """How long a seat of the service lasts, as seen here."""
-        return self._serviceMs.get(service, SEAT_MS)
+        return self._service_ms.get(service, SEAT_MS)
--- a/src/finchswitch/affinity/draw.py
+++ b/src/finchswitch/affinity/draw.py
@@ -34,7 +34,7 @@
     runner: str
     incarnation: str
     slots: int
-    prefillTokensPerS: int
+    prefill_tokens_per_s: int
 
 
 @dataclass(frozen=True)
@@ -42,8 +42,8 @@
     runner: Seatable
     opening: Opening
     way: Way
-    prefillTokens: int
-    firstMs: float
+    prefill_tokens: int
+    first_ms: float
 
 
 @dataclass(frozen=True)
@@ -56,65 +56,65 @@
     hot: list[str]
     runners: list[Seatable]
     homes: list[str]
-    spillShare: float
+    spill_share: float
 
 
 class Draws:
     def __init__(self, beliefs: Beliefs, burdens: Burdens, chance: Random) -> None:
         self._beliefs, self._burdens, self._chance = beliefs, burdens, chance
 
-    def estimate(self, opening: Opening, runner: Seatable, way: Way, nowMs: float) -> Drawn:
+    def estimate(self, opening: Opening, runner: Seatable, way: Way, now_ms: float) -> Drawn:
         """When the first token would come: waiting for a slot, others' prefill, then this prompt's own."""
-        seats = self._burdens.seats(runner.incarnation, nowMs)
-        cold = not self._beliefs.holds(runner.incarnation, opening.digest, nowMs)
-        tokens = opening.ownTokens + (opening.openingTokens if cold else 0)
+        seats = self._burdens.seats(runner.incarnation, now_ms)
+        cold = not self._beliefs.holds(runner.incarnation, opening.digest, now_ms)
+        tokens = opening.own_tokens + (opening.opening_tokens if cold else 0)
         waiting = max(0.0, seats + 1 - runner.slots)
-        waitMs = waiting * self._burdens.seatMs(runner.incarnation) / runner.slots
-        msAToken, pace = 1000 / runner.prefillTokensPerS, self._burdens.pace(runner.incarnation, nowMs)
-        backlogMs = self._burdens.backlogMs(runner.incarnation, msAToken * pace, nowMs)
-        return Drawn(runner, opening, way, tokens, (waitMs + tokens * msAToken) * pace + backlogMs)
+        wait_ms = waiting * self._burdens.seat_ms(runner.incarnation) / runner.slots
+        ms_a_token, pace = 1000 / runner.prefill_tokens_per_s, self._burdens.pace(runner.incarnation, now_ms)
+        backlog_ms = self._burdens.backlog_ms(runner.incarnation, ms_a_token * pace, now_ms)
+        return Drawn(runner, opening, way, tokens, (wait_ms + tokens * ms_a_token) * pace + backlog_ms)
 
-    def draw(self, opening: Opening, choices: Choices, dueMs: float, nowMs: float) -> Drawn | None:
+    def draw(self, opening: Opening, choices: Choices, due_ms: float, now_ms: float) -> Drawn | None:
         """A runner for the prompt, or None when none can be timely."""
         if not choices.runners:
             return None
-        first = self._first(opening, choices, nowMs)
-        if first.firstMs <= dueMs:
+        first = self._first(opening, choices, now_ms)
+        if first.first_ms <= due_ms:
             return first
-        others = [self.estimate(opening, each, Way.TIMELY, nowMs) for each in choices.runners]
-        timely = min(others, key=lambda each: each.firstMs)
-        return timely if timely.firstMs <= dueMs else None
+        others = [self.estimate(opening, each, Way.TIMELY, now_ms) for each in choices.runners]
+        timely = min(others, key=lambda each: each.first_ms)
+        return timely if timely.first_ms <= due_ms else None
 
-    def _first(self, opening: Opening, choices: Choices, nowMs: float) -> Drawn:
+    def _first(self, opening: Opening, choices: Choices, now_ms: float) -> Drawn:
         """The design's two rules, before time is looked at."""
         by_name = {each.runner: each for each in choices.runners}
         if opening.digest in choices.hot:
-            names = self._copied(opening, by_name, nowMs)
+            names = self._copied(opening, by_name, now_ms)
             pair = self._chance.sample(names, min(2, len(names)))
-            both = [self.estimate(opening, by_name[name], Way.HOT, nowMs) for name in pair]
-            return min(both, key=lambda each: self._share(each.runner, nowMs))
-        return self._home(opening, by_name, choices, nowMs)
+            both = [self.estimate(opening, by_name[name], Way.HOT, now_ms) for name in pair]
+            return min(both, key=lambda each: self._share(each.runner, now_ms))
+        return self._home(opening, by_name, choices, now_ms)
 
-    def _copied(self, opening: Opening, by_name: dict[str, Seatable], nowMs: float) -> list[str]:
+    def _copied(self, opening: Opening, by_name: dict[str, Seatable], now_ms: float) -> list[str]:
         """All runners; for a large opening mostly those believed to hold it, so that copies are made one by one."""
         names = sorted(by_name)
-        if opening.openingTokens < TOLD_TOKENS or self._chance.random() < COPY_SHARE:
+        if opening.opening_tokens < TOLD_TOKENS or self._chance.random() < COPY_SHARE:
             return names
-        held = [each for each in names if self._beliefs.holds(by_name[each].incarnation, opening.digest, nowMs)]
+        held = [each for each in names if self._beliefs.holds(by_name[each].incarnation, opening.digest, now_ms)]
         return held or names
 
-    def _home(self, opening: Opening, by_name: dict[str, Seatable], choices: Choices, nowMs: float) -> Drawn:
+    def _home(self, opening: Opening, by_name: dict[str, Seatable], choices: Choices, now_ms: float) -> Drawn:
         owned = home_order(opening.digest, choices.homes)
         order = [name for name in owned if name in by_name] or home_order(opening.digest, list(by_name))
         for name in order[: 1 + SECOND_HOMES]:
-            if self._share(by_name[name], nowMs) < choices.spillShare:
+            if self._share(by_name[name], now_ms) < choices.spill_share:
                 way = Way.HOME if name == owned[0] else Way.SPILL
-                return self.estimate(opening, by_name[name], way, nowMs)
-        spilled = [self.estimate(opening, by_name[name], Way.SPILL, nowMs) for name in order[: 1 + SECOND_HOMES]]
-        return min(spilled, key=lambda each: each.firstMs)
+                return self.estimate(opening, by_name[name], way, now_ms)
+        spilled = [self.estimate(opening, by_name[name], Way.SPILL, now_ms) for name in order[: 1 + SECOND_HOMES]]
+        return min(spilled, key=lambda each: each.first_ms)
 
-    def _share(self, runner: Seatable, nowMs: float) -> float:
-        return self._burdens.seats(runner.incarnation, nowMs) / runner.slots
+    def _share(self, runner: Seatable, now_ms: float) -> float:
+        return self._burdens.seats(runner.incarnation, now_ms) / runner.slots
 
 
 def owners(digest: str, before: list[str], after: list[str], share: float) -> list[str]:
--- a/src/finchswitch/affinity/opening.py
+++ b/src/finchswitch/affinity/opening.py
@@ -17,8 +17,8 @@
 class Opening:
     service: str
     digest: str
-    openingTokens: int
-    ownTokens: int
+    opening_tokens: int
+    own_tokens: int
 
 
 def opening_of(service: str, messages: list[dict[str, Any]]) -> Opening:
@@ -26,19 +26,19 @@
 
     >>> one = opening_of("m", [{"role": "system", "content": "abcd" * 5}, {"role": "user", "content": "hi"}])
     >>> two = opening_of("m", [{"role": "system", "content": "abcd" * 5}, {"role": "user", "content": "ho"}])
-    >>> one.digest == two.digest, one.openingTokens, one.ownTokens
+    >>> one.digest == two.digest, one.opening_tokens, one.own_tokens
     (True, 5, 1)
     """
     digest = hashlib.sha256(service.encode() + b"\0")
-    openingChars, ownChars, leading = 0, 0, True
+    opening_chars, own_chars, leading = 0, 0, True
     for message in messages:
         content = message.get("content")
         text = content if isinstance(content, str) else repr(content)
         leading = leading and message.get("role") == "system"
         if leading:
             digest.update(text.encode() + b"\0")
-            openingChars += len(text)
+            opening_chars += len(text)
         else:
-            ownChars += len(text)
-    openingTokens, ownTokens = -(-openingChars // CHARS_A_TOKEN), -(-ownChars // CHARS_A_TOKEN)
-    return Opening(service, digest.hexdigest()[:20], openingTokens, ownTokens)
+            own_chars += len(text)
+    opening_tokens, own_tokens = -(-opening_chars // CHARS_A_TOKEN), -(-own_chars // CHARS_A_TOKEN)
+    return Opening(service, digest.hexdigest()[:20], opening_tokens, own_tokens)
--- a/src/finchswitch/affinity/popularity.py
+++ b/src/finchswitch/affinity/popularity.py
@@ -19,33 +19,33 @@
     def __init__(self) -> None:
         self._counts: dict[str, float] = {}
         self._total = 0.0
-        self._atMs = 0.0
+        self._at_ms = 0.0
 
-    def _decay(self, nowMs: float) -> None:
-        passedMs = nowMs - self._atMs
-        if passedMs < HOT_HALF_MS / 100:
+    def _decay(self, now_ms: float) -> None:
+        passed_ms = now_ms - self._at_ms
+        if passed_ms < HOT_HALF_MS / 100:
             return
-        factor = 0.5 ** (passedMs / HOT_HALF_MS)
+        factor = 0.5 ** (passed_ms / HOT_HALF_MS)
         self._counts = {digest: count * factor for digest, count in self._counts.items() if count * factor > 0.001}
         self._total *= factor
-        self._atMs = nowMs
+        self._at_ms = now_ms
 
-    def count(self, digest: str, homeMs: float, nowMs: float) -> None:
+    def count(self, digest: str, home_ms: float, now_ms: float) -> None:
         """A prompt that keeps a home busy for so long."""
-        self._decay(nowMs)
+        self._decay(now_ms)
         if digest not in self._counts and len(self._counts) >= COUNTS_MOST:
             del self._counts[min(self._counts, key=self._counts.__getitem__)]
-        self._counts[digest] = self._counts.get(digest, 0.0) + homeMs
+        self._counts[digest] = self._counts.get(digest, 0.0) + home_ms
         self._total += 1.0
 
-    def top(self, most: int, nowMs: float) -> tuple[float, dict[str, float]]:
+    def top(self, most: int, now_ms: float) -> tuple[float, dict[str, float]]:
         """How many prompts were counted, and the highest shares of a home that openings need."""
-        self._decay(nowMs)
+        self._decay(now_ms)
         highest = sorted(self._counts.items(), key=lambda item: (-item[1], item[0]))[:most]
         return self._total, {digest: round(count * math.log(2) / HOT_HALF_MS, 5) for digest, count in highest}
 
 
-def pick_hot(shares: dict[str, float], held: list[str], most: int, enterShare: float, leaveShare: float) -> list[str]:
+def pick_hot(shares: dict[str, float], held: list[str], most: int, enter_share: float, leave_share: float) -> list[str]:
     """The hot set that follows from the shares of a home that openings need, and from the set held before.
 
     >>> pick_hot({"a": 0.8, "b": 0.3, "c": 0.25}, ["c"], 4, 0.4, 0.2)
@@ -53,6 +53,6 @@
     >>> pick_hot({"a": 0.5, "b": 0.6}, [], 1, 0.4, 0.2)
     ['b']
     """
-    bars = {digest: leaveShare if digest in held else enterShare for digest in shares}
+    bars = {digest: leave_share if digest in held else enter_share for digest in shares}
     hot = [digest for digest, share in shares.items() if share >= bars[digest]]
     return sorted(sorted(hot, key=lambda digest: (-shares[digest], digest))[:most])
--- a/src/finchswitch/constants.py
+++ b/src/finchswitch/constants.py
@@ -1,6 +1,6 @@
 """Every number the fleet runs by, in one place, each with its unit in the name and its reason beside it.
 
-Names end in Ms (milliseconds), Bytes, Tokens, Share (a fraction of one) or are plain counts. Values that an
+Names end in MS (milliseconds), BYTES, TOKENS, SHARE (a fraction of one) or are plain counts. Values that an
 operator may change live in the configuration (see ``creed``); what stands here is agreed by all processes of
 a fleet, since they judge each other's silence by it.
 """
--- a/src/finchswitch/creed/check.py
+++ b/src/finchswitch/creed/check.py
@@ -81,7 +81,7 @@
     """The entry, or the list of every field that is not as it should be."""
     if not isinstance(value, dict):
         return [f"{where}: not an object"]
-    fields = {each.name: each for each in dataclasses.fields(shape)}
+    fields = {written(each.name): each for each in dataclasses.fields(shape)}
     wrong = [f"{where}.{name}: no such field" for name in value if name not in fields]
     content = dict(value)
     for name, each in fields.items():
@@ -100,6 +100,16 @@
         return [f"{where}: {' '.join(str(error).split())}"]
 
 
+def written(name: str) -> str:
+    """How a field is written in a configuration.
+
+    >>> written("hot_enter_share"), written("service")
+    ('hotEnterShare', 'service')
+    """
+    first, *rest = name.split("_")
+    return first + "".join(each.capitalize() for each in rest)
+
+
 def _fits(value: Any, kind: Any) -> bool:
     if kind == list[str]:
         return isinstance(value, list) and all(type(each) is str for each in value)
@@ -111,17 +121,17 @@
 def check_creed(creed: Creed) -> list[str]:
     """What is wrong between the entries, and numbers out of range."""
     wrong: list[str] = []
-    _range(wrong, "settings.triesShare", creed.settings.triesShare, 0, TRIES_SHARE_MOST)
-    _range(wrong, "settings.spillShare", creed.settings.spillShare, SPILL_SHARE_LEAST, 1)
-    _range(wrong, "settings.answerMostMs", creed.settings.answerMostMs, ANSWER_LEAST_MS, ANSWER_LONGEST_MS)
+    _range(wrong, "settings.triesShare", creed.settings.tries_share, 0, TRIES_SHARE_MOST)
+    _range(wrong, "settings.spillShare", creed.settings.spill_share, SPILL_SHARE_LEAST, 1)
+    _range(wrong, "settings.answerMostMs", creed.settings.answer_most_ms, ANSWER_LEAST_MS, ANSWER_LONGEST_MS)
     for name, service in creed.services.items():
-        _range(wrong, f"services.{name}.dueMs", service.dueMs, DUE_LEAST_MS, DUE_MOST_MS)
-        _range(wrong, f"services.{name}.hotMost", service.hotMost, 0, HOT_SET_MOST)
-        _range(wrong, f"services.{name}.hotEnterShare", service.hotEnterShare, HOT_SHARE_LEAST, HOT_SHARE_MOST)
-        _range(wrong, f"services.{name}.hotLeaveShare", service.hotLeaveShare, 0, service.hotEnterShare)
+        _range(wrong, f"services.{name}.dueMs", service.due_ms, DUE_LEAST_MS, DUE_MOST_MS)
+        _range(wrong, f"services.{name}.hotMost", service.hot_most, 0, HOT_SET_MOST)
+        _range(wrong, f"services.{name}.hotEnterShare", service.hot_enter_share, HOT_SHARE_LEAST, HOT_SHARE_MOST)
+        _range(wrong, f"services.{name}.hotLeaveShare", service.hot_leave_share, 0, service.hot_enter_share)
     for name, runner in creed.runners.items():
         _range(wrong, f"runners.{name}.slots", runner.slots, 1, SLOTS_MOST)
-        _range(wrong, f"runners.{name}.prefillTokensPerS", runner.prefillTokensPerS, 1, PREFILL_MOST_TOKENS_A_S)
+        _range(wrong, f"runners.{name}.prefillTokensPerS", runner.prefill_tokens_per_s, 1, PREFILL_MOST_TOKENS_A_S)
     bound: dict[str, str] = {}
     for name, binding in creed.bindings.items():
         where = f"bindings.{name}"
--- a/src/finchswitch/creed/model.py
+++ b/src/finchswitch/creed/model.py
@@ -29,25 +29,25 @@
     ABANDONED = "abandoned"
 
 
-@serde(type_check=strict, deny_unknown_fields=True)
+@serde(type_check=strict, deny_unknown_fields=True, rename_all="camelcase")
 class Service:
     """A model that callers name."""
 
-    dueMs: int = DUE_DEFAULT_MS
-    hotMost: int = HOT_MOST
-    hotEnterShare: float = HOT_ENTER_SHARE
-    hotLeaveShare: float = HOT_LEAVE_SHARE
+    due_ms: int = DUE_DEFAULT_MS
+    hot_most: int = HOT_MOST
+    hot_enter_share: float = HOT_ENTER_SHARE
+    hot_leave_share: float = HOT_LEAVE_SHARE
 
 
-@serde(type_check=strict, deny_unknown_fields=True)
+@serde(type_check=strict, deny_unknown_fields=True, rename_all="camelcase")
 class Runner:
     """A runner that may be sent to, known by its identity; its address comes from the platform's list."""
 
     slots: int = 50
-    prefillTokensPerS: int = PREFILL_TOKENS_A_S
+    prefill_tokens_per_s: int = PREFILL_TOKENS_A_S
 
 
-@serde(type_check=strict, deny_unknown_fields=True)
+@serde(type_check=strict, deny_unknown_fields=True, rename_all="camelcase")
 class Binding:
     """Which runners serve a service."""
 
@@ -55,7 +55,7 @@
     runners: list[str]
 
 
-@serde(type_check=strict, deny_unknown_fields=True)
+@serde(type_check=strict, deny_unknown_fields=True, rename_all="camelcase")
 class Plan:
     """A move: these runners leave, those arrive, and these bindings follow."""
 
@@ -65,16 +65,16 @@
     step: PlanStep = PlanStep.RUNNING
 
 
-@serde(type_check=strict, deny_unknown_fields=True)
+@serde(type_check=strict, deny_unknown_fields=True, rename_all="camelcase")
 class Settings:
     """Budgets of the whole fleet."""
 
-    triesShare: float = TRIES_SHARE
-    spillShare: float = SPILL_BURDEN_SHARE
-    answerMostMs: int = ANSWER_MOST_MS
+    tries_share: float = TRIES_SHARE
+    spill_share: float = SPILL_BURDEN_SHARE
+    answer_most_ms: int = ANSWER_MOST_MS
 
 
-@serde(type_check=strict, deny_unknown_fields=True)
+@serde(type_check=strict, deny_unknown_fields=True, rename_all="camelcase")
 class Creed:
     services: dict[str, Service] = field(default_factory=dict)
     runners: dict[str, Runner] = field(default_factory=dict)
--- a/src/finchswitch/kinship/kin.py
+++ b/src/finchswitch/kinship/kin.py
@@ -31,8 +31,8 @@
     promised: dict[str, Ballot]
     generations: dict[str, int]
     sessions: list[Message]
-    heardMs: float = 0.0
-    askedMs: float = field(default=-1e18)
+    heard_ms: float = 0.0
+    asked_ms: float = field(default=-1e18)
 
     @classmethod
     def read(cls, body: Message, peer: str) -> "Kin":
@@ -62,27 +62,27 @@
         self.met: set[str] = set()  # addresses that said what they are
         self.routing: set[str] = set()  # seeds that turned out to be routing nodes
 
-    def heard(self, kin: Kin, nowMs: float, askedMs: float | None) -> None:
+    def heard(self, kin: Kin, now_ms: float, asked_ms: float | None) -> None:
         """Take in a beat (no askedMs) or the answer to one."""
         before = self.by_store.get(kin.store)
-        kin.askedMs = askedMs if askedMs is not None else (before.askedMs if before else -1e18)
-        kin.heardMs = nowMs
+        kin.asked_ms = asked_ms if asked_ms is not None else (before.asked_ms if before else -1e18)
+        kin.heard_ms = now_ms
         for other in [each for each in self.by_store.values() if each.address == kin.address]:
             del self.by_store[other.store]
         self.by_store[kin.store] = kin
         if kin.address != self._own:
             self.addresses.add(kin.address)
 
-    def forget_silent(self, seeds: list[str], nowMs: float) -> None:
+    def forget_silent(self, seeds: list[str], now_ms: float) -> None:
         """Control nodes silent for long; the seeds are asked forever."""
-        for kin in [each for each in self.by_store.values() if nowMs - each.heardMs > FORGET_MS]:
+        for kin in [each for each in self.by_store.values() if now_ms - each.heard_ms > FORGET_MS]:
             del self.by_store[kin.store]
             if kin.address not in seeds:
                 self.addresses.discard(kin.address)
 
-    def alive(self, nowMs: float) -> list[Kin]:
-        return [each for each in self.by_store.values() if nowMs - each.heardMs <= CONTROL_SILENT_MS]
+    def alive(self, now_ms: float) -> list[Kin]:
+        return [each for each in self.by_store.values() if now_ms - each.heard_ms <= CONTROL_SILENT_MS]
 
-    def silentMs(self, store: str, nowMs: float) -> float:
+    def silent_ms(self, store: str, now_ms: float) -> float:
         kin = self.by_store.get(store)
-        return nowMs - kin.heardMs if kin else float("inf")
+        return now_ms - kin.heard_ms if kin else float("inf")
--- a/src/finchswitch/kinship/member.py
+++ b/src/finchswitch/kinship/member.py
@@ -70,10 +70,10 @@
         self.control = ""
         self.members: list[Message] = []
         self._listed = False
-        self._currentMs = _NEVER
+        self._current_ms = _NEVER
         self._told: dict[str, int] = {}
         self.peers: dict[str, Message] = {}
-        self.heardMs: dict[str, float] = {}
+        self.heard_ms: dict[str, float] = {}
         self.tempo = Tempo(world)
 
     @property
@@ -84,13 +84,13 @@
         """The newest generations heard of from anyone."""
         wanted = dict(self._told)
         for name, beat in self.peers.items():
-            if self._hears(name, self._world.nowMs()):
+            if self._hears(name, self._world.now_ms()):
                 for part, generation in beat["generations"].items():
                     wanted[part] = max(wanted.get(part, -1), generation)
         return wanted
 
-    def _hears(self, name: str, nowMs: float) -> bool:
-        return nowMs - self.heardMs.get(name, _NEVER) <= PEER_SILENT_MS
+    def _hears(self, name: str, now_ms: float) -> bool:
+        return now_ms - self.heard_ms.get(name, _NEVER) <= PEER_SILENT_MS
 
     def known(self) -> list[str]:
         """The other nodes that this one knows: the last list by control, or who spoke before any list came."""
@@ -98,14 +98,14 @@
         return [each for each in names if each != self.card["name"]]
 
     def _controlled(self) -> bool:
-        return self._world.nowMs() - self._currentMs <= CONTROL_GRACE_MS
+        return self._world.now_ms() - self._current_ms <= CONTROL_GRACE_MS
 
     def _confirmed(self) -> bool:
-        nowMs, held = self._world.nowMs(), self._news.generation(CREED_PART)
+        now_ms, held = self._world.now_ms(), self._news.generation(CREED_PART)
         if self._controlled():
             return held >= self._told.get(CREED_PART, 0)
         known = self.known()
-        heard = [name for name in known if self._hears(name, nowMs)]
+        heard = [name for name in known if self._hears(name, now_ms)]
         newest = max((self.peers[name]["generations"].get(CREED_PART, -1) for name in heard), default=-1)
         return bool(known) and 2 * len(heard) >= len(known) and held >= newest
 
@@ -138,11 +138,11 @@
                 await self.tempo.pause(BEAT_MS)
                 continue
             body = {**self.card, "generations": self._news.generations()}
-            askedMs = self._world.nowMs()
+            asked_ms = self._world.now_ms()
             try:
                 answer = await self._book.ask(self.control, "session.beat", body, CONTROL_SILENT_MS)
                 with reading("session", self.control):
-                    self._hear_control(answer, askedMs)
+                    self._hear_control(answer, asked_ms)
             except Mishap as mishap:
                 _log.info("No session with {}. {}", self.control, mishap)
                 await self._ask_who(self.control)
@@ -179,14 +179,14 @@
     def known_controls(self) -> list[str]:
         return [each for each in self.controls if each not in self._routing]
 
-    def _hear_control(self, answer: Message, askedMs: float) -> None:
+    def _hear_control(self, answer: Message, asked_ms: float) -> None:
         controls, generations = field(answer, "controls", list), field(answer, "generations", dict)
         for part, generation in generations.items():
             self._told[part] = max(self._told.get(part, -1), generation)
         if answer.get("current") is not True:
             self._elsewhere()
             return
-        self._currentMs = askedMs
+        self._current_ms = asked_ms
         self.controls = sorted({*self._seeds, *controls})
         self.members, self._listed = field(answer, "members", list), True
 
@@ -202,17 +202,17 @@
 
     def _forget_silent(self) -> None:
         """Peers that control does not list and that have been silent for long."""
-        nowMs, listed = self._world.nowMs(), {each["name"] for each in self.members}
+        now_ms, listed = self._world.now_ms(), {each["name"] for each in self.members}
         if self._controlled():
             for name in [each for each in self.peers if each not in listed]:
-                if nowMs - self.heardMs.setdefault(name, nowMs) > FORGET_MS:
-                    del self.peers[name], self.heardMs[name]
+                if now_ms - self.heard_ms.setdefault(name, now_ms) > FORGET_MS:
+                    del self.peers[name], self.heard_ms[name]
 
     async def _beat_one(self, address: str, word: Message, own_word: Word) -> None:
-        askedMs = self._world.nowMs()
+        asked_ms = self._world.now_ms()
         try:
             answer = await self._book.ask(address, "peer.beat", word, PEER_SILENT_MS)
-            self.hear_peer(answer, askedMs)
+            self.hear_peer(answer, asked_ms)
             own_word.hear(answer)
         except Mishap as mishap:
             _log.debug("A peer is silent or speaks badly. {}", mishap)
@@ -220,12 +220,12 @@
     def word(self, own_word: Word) -> Message:
         return {**self.card, "generations": self._news.generations(), **own_word.speak()}
 
-    def hear_peer(self, beat: Message, askedMs: float) -> None:
+    def hear_peer(self, beat: Message, asked_ms: float) -> None:
         """A peer's answer to a beat; it counts from the moment that beat was sent."""
         check_beat(beat)
         name = beat["name"]
-        self.peers[name] = {**beat, "heardMs": askedMs}
-        self.heardMs[name] = max(self.heardMs.get(name, _NEVER), askedMs)
+        self.peers[name] = {**beat, "heardMs": asked_ms}
+        self.heard_ms[name] = max(self.heard_ms.get(name, _NEVER), asked_ms)
 
     def meet_peer(self, beat: Message) -> None:
         """A peer's own beat: it shows that there is such a peer, not when it spoke, as it may have lain in a buffer."""
@@ -233,8 +233,8 @@
         self.peers.setdefault(beat["name"], beat)
 
     def heard_peers(self) -> list[Message]:
-        nowMs = self._world.nowMs()
-        return [beat for name, beat in self.peers.items() if self._hears(name, nowMs)]
+        now_ms = self._world.now_ms()
+        return [beat for name, beat in self.peers.items() if self._hears(name, now_ms)]
 
     async def leave(self) -> None:
         """End the session cleanly, at every control node that may hold it."""
--- a/src/finchswitch/kinship/sessions.py
+++ b/src/finchswitch/kinship/sessions.py
@@ -40,7 +40,7 @@
         self.walker = Walker(_CHART, name)
         self.beat: Message = {}
         self.line = ""
-        self.seenMs = 0.0
+        self.seen_ms = 0.0
 
 
 def dark_may_serve(dark: int, known: int) -> bool:
@@ -59,13 +59,13 @@
         self._own: dict[str, _Session] = {}
         self._told: dict[str, tuple[float, list[Message]]] = {}
 
-    def beat(self, name: str, beat: Message, line: str, nowMs: float) -> bool:
+    def beat(self, name: str, beat: Message, line: str, now_ms: float) -> bool:
         """A node's beat; says whether anything others should hear of has changed."""
         session = self._own.setdefault(name, _Session(name))
         joined = not session.line or session.walker.state is not SessionState.STANDING
         news = joined or beat.get("generations") != session.beat.get("generations")
         session.walker.take(SessionEvent.BEAT)
-        session.beat, session.line, session.seenMs = beat, line, nowMs
+        session.beat, session.line, session.seen_ms = beat, line, now_ms
         if joined:
             _log.info("Session of {} stands.", name)
         return news
@@ -82,10 +82,10 @@
                 session.walker.take(SessionEvent.SILENCE)
                 _log.info("Connection of {} closed.", name)
 
-    def age(self, nowMs: float) -> None:
+    def age(self, now_ms: float) -> None:
         for name, session in self._own.items():
-            silentMs = nowMs - session.seenMs
-            if session.walker.state is SessionState.STANDING and silentMs > SESSION_SILENT_MS:
+            silent_ms = now_ms - session.seen_ms
+            if session.walker.state is SessionState.STANDING and silent_ms > SESSION_SILENT_MS:
                 session.walker.take(SessionEvent.SILENCE)
                 _log.info("{} is silent.", name)
 
@@ -104,47 +104,47 @@
         _log.info("{} is gone, as the operator says.", name)
         return True
 
-    def own(self, nowMs: float) -> list[Message]:
+    def own(self, now_ms: float) -> list[Message]:
         """This node's sessions, in the form in which control nodes tell them."""
         return [
-            {**session.beat, "name": name, "ageMs": nowMs - session.seenMs, "state": session.walker.state.value}
+            {**session.beat, "name": name, "ageMs": now_ms - session.seen_ms, "state": session.walker.state.value}
             for name, session in sorted(self._own.items())
         ]
 
-    def told(self, store: str, sessions: list[Message], nowMs: float) -> None:
-        self._told[store] = (nowMs, sessions)
+    def told(self, store: str, sessions: list[Message], now_ms: float) -> None:
+        self._told[store] = (now_ms, sessions)
         for each in sessions:
             own = self._own.get(each["name"])
-            if own is not None and own.walker.state is SessionState.DARK and each["ageMs"] < nowMs - own.seenMs:
+            if own is not None and own.walker.state is SessionState.DARK and each["ageMs"] < now_ms - own.seen_ms:
                 del self._own[each["name"]]  # its session stands elsewhere now
 
-    def all(self, nowMs: float) -> list[Message]:
+    def all(self, now_ms: float) -> list[Message]:
         """Every node known, each by its freshest record; only own and told within the keep time."""
         merged: dict[str, Message] = {}
-        for record in self._records(nowMs):
+        for record in self._records(now_ms):
             held = merged.get(record["name"])
             if held is None or record["ageMs"] < held["ageMs"]:
                 merged[record["name"]] = record
         return [merged[name] for name in sorted(merged)]
 
-    def _records(self, nowMs: float) -> Iterable[Message]:
-        yield from self.own(nowMs)
-        for toldMs, sessions in self._told.values():
-            sinceMs = nowMs - toldMs
+    def _records(self, now_ms: float) -> Iterable[Message]:
+        yield from self.own(now_ms)
+        for told_ms, sessions in self._told.values():
+            since_ms = now_ms - told_ms
             for told in sessions:
-                record: dict[str, Any] = {**told, "ageMs": told["ageMs"] + sinceMs}
-                if sinceMs > TOLD_KEEP_MS and record["state"] == SessionState.STANDING.value:
+                record: dict[str, Any] = {**told, "ageMs": told["ageMs"] + since_ms}
+                if since_ms > TOLD_KEEP_MS and record["state"] == SessionState.STANDING.value:
                     record["state"] = SessionState.DARK.value
                 yield record
 
-    def members(self, nowMs: float) -> list[Message]:
+    def members(self, now_ms: float) -> list[Message]:
         """The members: nodes whose session stands, in the order that the relay tree is computed from."""
-        standing = [each for each in self.all(nowMs) if each["state"] == SessionState.STANDING.value]
+        standing = [each for each in self.all(now_ms) if each["state"] == SessionState.STANDING.value]
         return [{key: each[key] for key in ("name", "address", "http", "district")} for each in standing]
 
-    def lacking(self, part: str, generation: int, nowMs: float) -> tuple[list[str], int]:
+    def lacking(self, part: str, generation: int, now_ms: float) -> tuple[list[str], int]:
         """Names of nodes that may serve below a generation, and how many nodes are known in all."""
-        known = [each for each in self.all(nowMs) if each["state"] != SessionState.GONE.value]
+        known = [each for each in self.all(now_ms) if each["state"] != SessionState.GONE.value]
         behind = [each for each in known if each["generations"].get(part, -1) < generation]
         dark = [each for each in behind if each["ageMs"] > CONTROL_GRACE_MS]
         if len(dark) == len(behind) and not dark_may_serve(len(dark), len(known)):
--- a/src/finchswitch/kinship/tempo.py
+++ b/src/finchswitch/kinship/tempo.py
@@ -15,8 +15,8 @@
     def kick(self) -> None:
         self._event.set()
 
-    async def pause(self, waitMs: float) -> None:
-        with anyio.move_on_after(waitMs / 1000):
+    async def pause(self, wait_ms: float) -> None:
+        with anyio.move_on_after(wait_ms / 1000):
             await self._event.wait()
         if self._event.is_set():
             self._event = anyio.Event()
--- a/src/finchswitch/programs/faults.py
+++ b/src/finchswitch/programs/faults.py
@@ -24,23 +24,23 @@
         self._client, self._change = client, change
         self.base = 1
 
-    async def change(self, content: dict[str, Any], changeId: str) -> Change:
-        change: Change = await self._change(self.base, content, changeId)
+    async def change(self, content: dict[str, Any], change_id: str) -> Change:
+        change: Change = await self._change(self.base, content, change_id)
         self.base = max(self.base, change.generation)
         return change
 
     def kill(self, name: str) -> None:
-        nowMs = self.world.nowMs()
-        self.history.faults.append(Fault(name, nowMs, nowMs))
+        now_ms = self.world.now_ms()
+        self.history.faults.append(Fault(name, now_ms, now_ms))
         self.fleet.signal(name, signal.SIGKILL)
 
     def freeze(self, name: str) -> None:
-        self.history.failing(name, self.world.nowMs())
+        self.history.failing(name, self.world.now_ms())
         self.fleet.signal(name, signal.SIGSTOP)
 
     def thaw(self, name: str) -> None:
         self.fleet.signal(name, signal.SIGCONT)
-        self.history.mended(name, self.world.nowMs())
+        self.history.mended(name, self.world.now_ms())
 
     async def tell(self, act: str, name: str, incarnation: str) -> None:
         await self.fleet.tell(self._client, self.history, self.world, act, name, incarnation)
@@ -61,12 +61,12 @@
     await hands.pause(0.05)
     await hands.change({"edits": [{"kind": "settings", "name": "spillShare", "value": 0.85}]}, "while-one-is-gone")
     fleet.start("accord1")
-    pauseMs = 1000 * hands.seconds * 0.6 / len(hands.desk.nodes)
+    pause_ms = 1000 * hands.seconds * 0.6 / len(hands.desk.nodes)
     for name in sorted(hands.desk.nodes):
-        beganMs = world.nowMs()
+        began_ms = world.now_ms()
         await fleet.stop_softly(name, world)
         fleet.start(name)
-        await world.sleep(max(0.0, pauseMs - (world.nowMs() - beganMs)))
+        await world.sleep(max(0.0, pause_ms - (world.now_ms() - began_ms)))
 
 
 async def freeze(hands: Hands) -> None:
@@ -104,17 +104,17 @@
     own = [name for name in fleet.running() if name.startswith(("accord", "transit"))]
     for name in own:
         hands.kill(name)
-    lostMs = world.nowMs()
+    lost_ms = world.now_ms()
     await world.sleep(2_000)
     for name in own:
         fleet.start(name)
-    backMs = world.nowMs()
+    back_ms = world.now_ms()
     await world.sleep(12_000)
-    after = [c for c in hands.history.calls if c.askedMs > world.nowMs() - 2_000 and c.endMs > 0]
+    after = [c for c in hands.history.calls if c.asked_ms > world.now_ms() - 2_000 and c.end_ms > 0]
     good = sum(call.outcome == "complete" for call in after)
     hands.history.notes["loss"] = {
         "acknowledged": before.status,
-        "downMs": round(backMs - lostMs),
+        "downMs": round(back_ms - lost_ms),
         "served12sAfterReturn": f"{good} of {len(after)}",
     }
     await hands.change({"edits": [{"kind": "settings", "name": "spillShare", "value": 0.9}]}, "after")
@@ -149,11 +149,11 @@
     """Control and routing nodes are killed and frozen at seeded moments, several at once, under racing operators."""
     fleet, world, chance = hands.fleet, hands.world, hands.world.chance
     nodes, cores = sorted(hands.desk.nodes), [f"accord{at}" for at in range(1, fleet.deployment.cores + 1)]
-    untilMs = world.nowMs() + 1000 * hands.seconds * 0.8
+    until_ms = world.now_ms() + 1000 * hands.seconds * 0.8
     async with anyio.create_task_group() as group:
         for who in range(2):
-            group.start_soon(_race, hands, who, untilMs)
-        while world.nowMs() < untilMs:
+            group.start_soon(_race, hands, who, until_ms)
+        while world.now_ms() < until_ms:
             some, few = chance.choice([0, 1, 1, 2]), chance.choice([0, 1, 1, 2])
             names = [*chance.sample(nodes, some), *chance.sample(cores, few)]
             freezing = chance.random() < 0.4
@@ -165,9 +165,9 @@
             await world.sleep(chance.uniform(1_500, 4_000))
 
 
-async def _race(hands: Hands, who: int, untilMs: float) -> None:
+async def _race(hands: Hands, who: int, until_ms: float) -> None:
     at = 0
-    while hands.world.nowMs() < untilMs:
+    while hands.world.now_ms() < until_ms:
         at += 1
         value = round(hands.world.chance.uniform(0.7, 0.95), 3)
         await hands.change({"edits": [{"kind": "settings", "name": "spillShare", "value": value}]}, f"race-{who}-{at}")
--- a/src/finchswitch/programs/fleet.py
+++ b/src/finchswitch/programs/fleet.py
@@ -118,7 +118,7 @@
         """Have the platform list a runner, show it leaving, or remove it."""
         body = {"act": act, "runner": name, "incarnation": incarnation, "address": self.addresses[incarnation]}
         what = {"list": "listed", "leave": "leaving", "remove": "removed"}[act]
-        history.listed.append(ListEvent(incarnation, what, world.nowMs()))
+        history.listed.append(ListEvent(incarnation, what, world.now_ms()))
         for _ in range(200):
             try:
                 await client.post(f"http://{self._platform}/stand-in", json=body)
@@ -143,7 +143,7 @@
             for line in file.read_text().splitlines() if file.exists() else []:
                 row = json.loads(line)
                 if "refused" in row:
-                    history.refusals.append(Arrival(row["refused"], row["incarnation"], row["atMs"]))
+                    history.refusals.append(Arrival(row["refused"], row["incarnation"], row["at_ms"]))
                 else:
-                    runs[row["requestId"], incarnation, row["atMs"]] = RunSeen(**row)
+                    runs[row["request_id"], incarnation, row["at_ms"]] = RunSeen(**row)
         history.runs = list(runs.values())
--- a/src/finchswitch/programs/mirror.py
+++ b/src/finchswitch/programs/mirror.py
@@ -67,16 +67,16 @@
 ) -> None:
     """Compare what two nodes believe."""
     since: dict[str, float] = {}
-    untilS = time.monotonic() + watch
+    until_s = time.monotonic() + watch
     while True:
-        found, nowS = differences(_beliefs(one), _beliefs(two)), time.monotonic()
-        since = {path: since.get(path, nowS) for path in found}
+        found, now_s = differences(_beliefs(one), _beliefs(two)), time.monotonic()
+        since = {path: since.get(path, now_s) for path in found}
         if as_json:
-            rows = {p: {"one": a, "two": b, "stoodS": round(nowS - since[p], 1)} for p, (a, b) in found.items()}
+            rows = {p: {"one": a, "two": b, "stoodS": round(now_s - since[p], 1)} for p, (a, b) in found.items()}
             typer.echo(json.dumps(rows, sort_keys=True))
         else:
             for path, (first, second) in found.items():
-                typer.echo(f"{path}: {first!r} / {second!r}, for {nowS - since[path]:.0f} s")
-        if nowS >= untilS:
+                typer.echo(f"{path}: {first!r} / {second!r}, for {now_s - since[path]:.0f} s")
+        if now_s >= until_s:
             raise typer.Exit(1 if found else 0)
         time.sleep(1)
--- a/src/finchswitch/programs/rehearse.py
+++ b/src/finchswitch/programs/rehearse.py
@@ -31,14 +31,14 @@
     failed = 0
     for name in ALL if scene == "all" else [scene]:
         for seed in range(int(first), int(last or first) + 1):
-            beganS = time.monotonic()
+            began_s = time.monotonic()
             history, faults = perform(name, seed, DEPLOYMENTS[deployment])
             report = make_report(history)
             outcomes = {service: each["outcomes"] for service, each in report["services"].items()}
             changes = dict(Counter(change.status for change in history.changes))
-            tookS = time.monotonic() - beganS
+            took_s = time.monotonic() - began_s
             verdict = "FAILED" if faults else "held"
-            typer.echo(f"{name} {deployment} {seed}: {verdict}, {outcomes}, changes {changes}, {tookS:.1f} s")
+            typer.echo(f"{name} {deployment} {seed}: {verdict}, {outcomes}, changes {changes}, {took_s:.1f} s")
             for fault in faults:
                 typer.echo(f"  {fault}")
             failed += bool(faults)
--- a/src/finchswitch/programs/stage.py
+++ b/src/finchswitch/programs/stage.py
@@ -88,10 +88,10 @@
         history.notes["readyMs"] = await _until(world, lambda _: _all_ready(desk), client, 20_000)
         limits = httpx.Limits(max_connections=None, max_keepalive_connections=50)
         async with httpx.AsyncClient(trust_env=False, limits=limits) as callers, anyio.create_task_group() as calling:
-            untilMs = world.nowMs() + 1000 * seconds
+            until_ms = world.now_ms() + 1000 * seconds
             for traffic in fleet.deployment.traffic:
-                scaled = type(traffic)(**{**asdict(traffic), "perS": traffic.perS * share})
-                calling.start_soon(call_openly, Calling(world, desk, scaled, history, callers, calling), untilMs)
+                scaled = type(traffic)(**{**asdict(traffic), "per_s": traffic.per_s * share})
+                calling.start_soon(call_openly, Calling(world, desk, scaled, history, callers, calling), until_ms)
             operate = partial(_change, world, client, fleet, history)
             await FAULTS[faults](Hands(world, fleet, desk, history, client, operate, seconds))
         await _read_back(client, fleet, history)
@@ -107,19 +107,19 @@
     try:
         address = fleet.desks()[0]
         read = (await client.get(f"http://{address}/v1/configuration?current=true")).json()
-        history.reads.append(Read(max(change.answeredMs for change in history.changes), read.get("generation", -1)))
+        history.reads.append(Read(max(change.answered_ms for change in history.changes), read.get("generation", -1)))
         history.notes["plans"] = (await client.get(f"http://{address}/v1/plans")).json()["plans"]
     except (httpx.HTTPError, IndexError) as error:
         history.notes["read back"] = repr(error)
 
 
-async def _until(world: RealWorld, holds: Any, client: httpx.AsyncClient, mostMs: float) -> float:
-    beganMs = world.nowMs()
+async def _until(world: RealWorld, holds: Any, client: httpx.AsyncClient, most_ms: float) -> float:
+    began_ms = world.now_ms()
     while not await holds(client):
-        if world.nowMs() - beganMs > mostMs:
-            raise RuntimeError(f"{holds} did not come about in {mostMs:.0f} ms")
+        if world.now_ms() - began_ms > most_ms:
+            raise RuntimeError(f"{holds} did not come about in {most_ms:.0f} ms")
         await world.sleep(50)
-    return round(world.nowMs() - beganMs)
+    return round(world.now_ms() - began_ms)
 
 
 async def _change(
@@ -129,20 +129,22 @@
     history: History,
     base: int,
     content: dict[str, Any],
-    changeId: str,
+    change_id: str,
 ) -> Change:
-    change = Change(changeId, base, world.nowMs(), mark="", content=content)
+    change = Change(change_id, base, world.now_ms(), mark="", content=content)
     history.changes.append(change)
     for at in range(5):
         try:
             url = f"http://{world.chance.choice(fleet.desks())}/v1/changes"
-            response = await client.post(url, json={"changeId": changeId, "base": base, "again": at > 0, **content})
+            response = await client.post(url, json={"changeId": change_id, "base": base, "again": at > 0, **content})
             answer = response.json()
         except (httpx.HTTPError, ValueError):
             continue
         change.status, change.generation = response.status_code, int(answer.get("generation", -1))
-        change.answeredMs = world.nowMs()
+        change.answered_ms = world.now_ms()
         if change.status not in (503, 504):
             break
-    history.notes.setdefault("changes", []).append([changeId, change.status, round(change.answeredMs - change.sentMs)])
+    history.notes.setdefault("changes", []).append(
+        [change_id, change.status, round(change.answered_ms - change.sent_ms)]
+    )
     return change
--- a/src/finchswitch/programs/transit.py
+++ b/src/finchswitch/programs/transit.py
@@ -44,7 +44,7 @@
     await node.world.sleep(STOP_SETTLE_MS)
     node.member.stop()
     stop.set()
-    with anyio.move_on_after((node.creed().settings.answerMostMs + 2 * CALLER_STILL_MS) / 1000):
+    with anyio.move_on_after((node.creed().settings.answer_most_ms + 2 * CALLER_STILL_MS) / 1000):
         await closed.wait()
     await node.member.leave()
     _log.info("Left.")
--- a/src/finchswitch/rehearsal/allowance.py
+++ b/src/finchswitch/rehearsal/allowance.py
@@ -24,17 +24,17 @@
     """From when on each pair of service and runner was allowed."""
     services: dict[str, set[str]] = {}
     since: dict[tuple[str, str], float] = {}
-    for change in sorted(history.changes, key=lambda each: each.sentMs):
+    for change in sorted(history.changes, key=lambda each: each.sent_ms):
         if change.status in _REFUSED:
             continue
         for name, binding in _entries(change, "bindings").items():
             services.setdefault(name, set()).add(binding["service"])
             for runner in binding["runners"]:
-                since.setdefault((binding["service"], runner), change.sentMs)
+                since.setdefault((binding["service"], runner), change.sent_ms)
         for plan in _entries(change, "plans").values():
             for runner in plan["arriving"]:
                 for service in {s for name in plan["bindings"] for s in services.get(name, ())}:
-                    since.setdefault((service, runner), change.sentMs)
+                    since.setdefault((service, runner), change.sent_ms)
     return since
 
 
@@ -43,7 +43,7 @@
 
     Services that any plan touches are left out, since a plan's standing says more than its change.
     """
-    changes = sorted((c for c in history.changes if c.status not in _REFUSED), key=lambda each: each.sentMs)
+    changes = sorted((c for c in history.changes if c.status not in _REFUSED), key=lambda each: each.sent_ms)
     planned = {name for change in changes for plan in _entries(change, "plans").values() for name in plan["bindings"]}
     sent = [
         (change, binding)
@@ -54,6 +54,6 @@
     spans = []
     for at, (change, binding) in enumerate(sent):
         if change.status == 200:
-            later = [each.sentMs for each, other in sent[at + 1 :] if other["service"] == binding["service"]]
-            spans.append((binding["service"], binding["runners"], change.answeredMs, min(later, default=float("inf"))))
+            later = [each.sent_ms for each, other in sent[at + 1 :] if other["service"] == binding["service"]]
+            spans.append((binding["service"], binding["runners"], change.answered_ms, min(later, default=float("inf"))))
     return spans
--- a/src/finchswitch/rehearsal/callers.py
+++ b/src/finchswitch/rehearsal/callers.py
@@ -38,12 +38,12 @@
                 await self.world.sleep(LOOK_MS)
 
     async def _look_at(self, client: httpx.AsyncClient, name: str) -> None:
-        askedMs = self.world.nowMs()
+        asked_ms = self.world.now_ms()
         try:
             response = await client.get(f"http://{self.nodes[name][0]}/ready", timeout=LOOK_MS / 1000)
             self.ready[name] = response.status_code == 200
             if self.ready[name]:
-                self.sights.append(Sight(name, askedMs, self.world.nowMs(), response.json()["generation"]))
+                self.sights.append(Sight(name, asked_ms, self.world.now_ms(), response.json()["generation"]))
         except httpx.HTTPError:
             self.ready[name] = False
 
@@ -68,33 +68,33 @@
     patience: int = 0
 
 
-async def call_openly(calling: Calling, untilMs: float) -> None:
+async def call_openly(calling: Calling, until_ms: float) -> None:
     """Call at the traffic's rate until the time; answers are awaited in tasks of the group."""
     world, traffic, at = calling.world, calling.traffic, 0
     districts = sorted({district for _, district in calling.desk.nodes.values()})
-    while world.nowMs() < untilMs:
-        await world.sleep(world.chance.expovariate(traffic.perS) * 1000)
+    while world.now_ms() < until_ms:
+        await world.sleep(world.chance.expovariate(traffic.per_s) * 1000)
         at += 1
         body, district = traffic.body(world.chance, at), world.chance.choice(districts)
         calling.group.start_soon(_call_patiently, calling, f"{traffic.service}{calling.tag}-{at}", district, body)
 
 
-async def _call_patiently(calling: Calling, requestId: str, district: str, body: dict[str, Any]) -> None:
+async def _call_patiently(calling: Calling, request_id: str, district: str, body: dict[str, Any]) -> None:
     """One request; told that it was not run, its caller comes back when it was told to, under an id of its own."""
     world, traffic = calling.world, calling.traffic
     for again in range(calling.patience + 1):
         node = calling.desk.hand(district)
-        name = f"{requestId}-again{again}" if again else requestId
-        call = Call(name, traffic.service, traffic.repeatable, node or "", world.nowMs())
+        name = f"{request_id}-again{again}" if again else request_id
+        call = Call(name, traffic.service, traffic.repeatable, node or "", world.now_ms())
         calling.history.calls.append(call)
         if node is None:
-            call.reason, call.retryAfterS = "no ready node", 1.0
+            call.reason, call.retry_after_s = "no ready node", 1.0
         else:
             await call_once(world, calling.client, calling.desk.nodes[node][0], traffic, body, call)
             if call.outcome != "not-run":
                 return
         if again < calling.patience:
-            await world.sleep(1000 * max(1.0, call.retryAfterS))
+            await world.sleep(1000 * max(1.0, call.retry_after_s))
 
 
 async def call_once(
@@ -102,17 +102,17 @@
 ) -> None:
     """One call, to its end."""
     headers = {
-        "x-request-id": call.requestId,
+        "x-request-id": call.request_id,
         "x-repeatable": "yes" if call.repeatable else "no",
-        "x-due-ms": str(traffic.dueMs),
+        "x-due-ms": str(traffic.due_ms),
     }
     url = f"http://{address}/v1/chat/completions"
     try:
         async with client.stream("POST", url, json=body, headers=headers, timeout=CALLER_WAIT_S) as response:
             call.status = response.status_code
             call.outcome = response.headers.get("x-outcome", "")
-            call.retryAfter = "retry-after" in response.headers
-            call.retryAfterS = float(response.headers.get("retry-after", 0))
+            call.retry_after = "retry-after" in response.headers
+            call.retry_after_s = float(response.headers.get("retry-after", 0))
             if response.status_code != 200:
                 call.reason = (await response.aread()).decode()[:300]
                 return
@@ -124,13 +124,13 @@
     except httpx.HTTPError as error:
         call.reason = repr(error)
     finally:
-        call.endMs = world.nowMs()
+        call.end_ms = world.now_ms()
 
 
 async def _read(world: World, response: httpx.Response, call: Call) -> None:
     async for event in EventSource(response).aiter_sse():
-        if call.firstMs < 0:
-            call.firstMs = world.nowMs()
+        if call.first_ms < 0:
+            call.first_ms = world.now_ms()
         if event.data == "[DONE]":
             call.done = True
             continue
--- a/src/finchswitch/rehearsal/checkers.py
+++ b/src/finchswitch/rehearsal/checkers.py
@@ -25,88 +25,88 @@
 
 def runs_twice(history: History) -> list[str]:
     """What was not meant to be repeated runs once at the most."""
-    counts = Counter(run.requestId for run in history.runs)
-    once = [call.requestId for call in history.calls if not call.repeatable]
+    counts = Counter(run.request_id for run in history.runs)
+    once = [call.request_id for call in history.calls if not call.repeatable]
     return [f"{each} ran {counts[each]} times" for each in once if counts[each] > 1]
 
 
 def not_run_yet_run(history: History) -> list[str]:
-    ran = {run.requestId for run in history.runs}
-    told = [call.requestId for call in history.calls if call.outcome == "not-run"]
+    ran = {run.request_id for run in history.runs}
+    told = [call.request_id for call in history.calls if call.outcome == "not-run"]
     return [f"{each} was told not-run and ran" for each in told if each in ran]
 
 
 def pieces_whole(history: History) -> list[str]:
     """Pieces exactly once and in order, of one run, and complete only when the runner sent all of it."""
-    breaches, runs = [], {(run.requestId, run.incarnation): run for run in history.runs}
+    breaches, runs = [], {(run.request_id, run.incarnation): run for run in history.runs}
     for call in history.calls:
         expected = list(range(1, len(call.pieces) + 1))
         if call.numbers != expected:
-            breaches.append(f"{call.requestId}: pieces numbered {call.numbers[:9]}")
+            breaches.append(f"{call.request_id}: pieces numbered {call.numbers[:9]}")
         for number, text in enumerate(call.pieces, 1):
-            if text.strip() != f"{call.requestId}:{call.incarnation}:{number}":
-                breaches.append(f"{call.requestId}: piece {number} from {call.incarnation} reads {text!r}")
+            if text.strip() != f"{call.request_id}:{call.incarnation}:{number}":
+                breaches.append(f"{call.request_id}: piece {number} from {call.incarnation} reads {text!r}")
                 break
-        run = runs.get((call.requestId, call.incarnation))
+        run = runs.get((call.request_id, call.incarnation))
         claims = call.done or call.outcome == "complete"
         if claims and (run is None or not run.whole or run.pieces != len(call.pieces)):
-            breaches.append(f"{call.requestId}: looks complete and is not")
+            breaches.append(f"{call.request_id}: looks complete and is not")
     return breaches
 
 
 def only_allowed(history: History) -> list[str]:
     """A run is on a true incarnation, after it was listed, for a service that some change bound to its runner."""
     breaches, since = [], allowed_since(history)
-    listedMs = {each.incarnation: each.atMs for each in reversed(history.listed) if each.what == "listed"}
+    listed_ms = {each.incarnation: each.at_ms for each in reversed(history.listed) if each.what == "listed"}
     for run in history.runs:
         if run.incarnation not in history.allowed:
-            breaches.append(f"{run.requestId} ran on {run.incarnation}, never allowed")
-        elif history.listed and run.atMs < listedMs.get(run.incarnation, float("inf")):
-            breaches.append(f"{run.requestId} ran on {run.incarnation} before it was listed")
-        elif since and run.atMs < since.get((run.service, run.runner), float("inf")):
-            breaches.append(f"{run.requestId} of {run.service} ran on {run.runner}, never bound to it")
+            breaches.append(f"{run.request_id} ran on {run.incarnation}, never allowed")
+        elif history.listed and run.at_ms < listed_ms.get(run.incarnation, float("inf")):
+            breaches.append(f"{run.request_id} ran on {run.incarnation} before it was listed")
+        elif since and run.at_ms < since.get((run.service, run.runner), float("inf")):
+            breaches.append(f"{run.request_id} of {run.service} ran on {run.runner}, never bound to it")
     return breaches
 
 
 def leaving_left_alone(history: History) -> list[str]:
-    leftMs = {each.incarnation: each.atMs for each in reversed(history.listed) if each.what == "leaving"}
+    left_ms = {each.incarnation: each.at_ms for each in reversed(history.listed) if each.what == "leaving"}
     return [
-        f"{run.requestId} began on {run.incarnation} {run.atMs - leftMs[run.incarnation]:.0f} ms after it was leaving"
+        f"{run.request_id} began on {run.incarnation} {run.at_ms - left_ms[run.incarnation]:.0f} ms after it left"
         for run in history.runs
-        if run.incarnation in leftMs and run.atMs > leftMs[run.incarnation] + BRIEF_LEAVING_MS
+        if run.incarnation in left_ms and run.at_ms > left_ms[run.incarnation] + BRIEF_LEAVING_MS
     ]
 
 
 def _sights(history: History) -> list[Sight]:
     """Every moment at which a node's generation showed: when it said it was ready, and when it sent a request."""
-    beganMs = {(run.requestId, run.incarnation): run.atMs for run in history.runs}
+    began_ms = {(run.request_id, run.incarnation): run.at_ms for run in history.runs}
     seen = list(history.sights)
     for call in history.calls:
         if call.generation >= 0:
-            untilMs = beganMs.get((call.requestId, call.incarnation), call.firstMs)
-            seen.append(Sight(call.node, call.askedMs, untilMs, call.generation))
+            until_ms = began_ms.get((call.request_id, call.incarnation), call.first_ms)
+            seen.append(Sight(call.node, call.asked_ms, until_ms, call.generation))
     return seen
 
 
 def acknowledged_in_effect(history: History) -> list[str]:
     """Two seconds after a change was acknowledged, no ready node is behind it, and no request is sent against it."""
-    breaches, beganMs = [], {(run.requestId, run.incarnation): run.atMs for run in history.runs}
-    known = sorted((c.answeredMs + BRIEF_IN_EFFECT_MS, c.generation) for c in history.changes if c.status == 200)
-    due = [(atMs, max(generation for _, generation in known[: at + 1])) for at, (atMs, _) in enumerate(known)]
+    breaches, began_ms = [], {(run.request_id, run.incarnation): run.at_ms for run in history.runs}
+    known = sorted((c.answered_ms + BRIEF_IN_EFFECT_MS, c.generation) for c in history.changes if c.status == 200)
+    due = [(at_ms, max(generation for _, generation in known[: at + 1])) for at, (at_ms, _) in enumerate(known)]
     sent = [
-        Sight(c.node, beganMs.get((c.requestId, c.incarnation), c.askedMs), c.firstMs, c.generation)
+        Sight(c.node, began_ms.get((c.request_id, c.incarnation), c.asked_ms), c.first_ms, c.generation)
         for c in history.calls
         if c.generation >= 0
     ]
     for sight in [*history.sights, *sent]:
-        newest = due[bisect_left(due, (sight.askedMs, -1)) - 1][1] if due and due[0][0] < sight.askedMs else -1
+        newest = due[bisect_left(due, (sight.asked_ms, -1)) - 1][1] if due and due[0][0] < sight.asked_ms else -1
         if sight.generation < newest:
             breaches.append(f"{sight.node} showed {sight.generation} after {newest} was acknowledged")
-    for service, runners, sinceMs, untilMs in bound_spans(history):
+    for service, runners, since_ms, until_ms in bound_spans(history):
         for run in history.runs:
-            if run.service == service and sinceMs + BRIEF_IN_EFFECT_MS < run.atMs < untilMs:
+            if run.service == service and since_ms + BRIEF_IN_EFFECT_MS < run.at_ms < until_ms:
                 if run.runner not in runners:
-                    breaches.append(f"{run.requestId} of {service} ran on {run.runner}, unbound by then")
+                    breaches.append(f"{run.request_id} of {service} ran on {run.runner}, unbound by then")
     return breaches
 
 
@@ -115,9 +115,9 @@
     seen = _sights(history)
     for node in sorted({each.node for each in seen}):
         rows = [each for each in seen if each.node == node]
-        shown, at, newest = sorted(rows, key=lambda each: each.seenMs), 0, -1
-        for sight in sorted(rows, key=lambda each: each.askedMs):
-            while at < len(shown) and shown[at].seenMs <= sight.askedMs - BRIEF_BACK_MS:
+        shown, at, newest = sorted(rows, key=lambda each: each.seen_ms), 0, -1
+        for sight in sorted(rows, key=lambda each: each.asked_ms):
+            while at < len(shown) and shown[at].seen_ms <= sight.asked_ms - BRIEF_BACK_MS:
                 newest, at = max(newest, shown[at].generation), at + 1
             if sight.generation < newest:
                 breaches.append(f"{node} went back from {newest} to {sight.generation}")
@@ -128,7 +128,7 @@
     """One winner a base; each acknowledged change has a generation of its own."""
     breaches = []
     taken = [change for change in history.changes if change.status in (200, 202)]
-    distinct = {change.changeId: change for change in taken}.values()
+    distinct = {change.change_id: change for change in taken}.values()
     for base, count in Counter(change.base for change in distinct).items():
         if count > 1:
             breaches.append(f"{count} changes on base {base} were accepted")
@@ -142,7 +142,7 @@
     """A read said to be current shows whatever was acknowledged before it was sent."""
     breaches = []
     for read in history.reads:
-        known = [c.generation for c in history.changes if c.status in (200, 202) and c.answeredMs <= read.sentMs]
+        known = [c.generation for c in history.changes if c.status in (200, 202) and c.answered_ms <= read.sent_ms]
         if read.generation < max(known, default=0):
             breaches.append(f"a current read showed {read.generation} after {max(known)} was acknowledged")
     return breaches
@@ -162,26 +162,26 @@
     """A stream breaks only while its runner or its node was made to fail, or when its caller left."""
     breaches = []
     for call in history.calls:
-        endMs = call.endMs if call.endMs >= 0 else float("inf")
+        end_ms = call.end_ms if call.end_ms >= 0 else float("inf")
         excused = call.left or any(
             fault.name in (call.incarnation, call.node)
-            and fault.fromMs <= endMs + CLOCK_SLACK_MS
-            and call.askedMs <= fault.untilMs + CLOCK_SLACK_MS
+            and fault.from_ms <= end_ms + CLOCK_SLACK_MS
+            and call.asked_ms <= fault.until_ms + CLOCK_SLACK_MS
             for fault in history.faults
         )
         if call.pieces and not call.done and not excused:
-            breaches.append(f"{call.requestId} on {call.node} and {call.incarnation} was cut: {call.reason}")
+            breaches.append(f"{call.request_id} on {call.node} and {call.incarnation} was cut: {call.reason}")
     return breaches
 
 
 def _over(extra: list[float], traffic: list[float], what: str) -> list[str]:
     """Ten seconds that hold more of the extra than a fifth of their traffic and a few dozen."""
-    for at, startMs in enumerate(extra):
-        endMs = startMs + BRIEF_TRIES_WINDOW_MS
-        within = bisect_left(extra, endMs) - at
-        calls = bisect_left(traffic, endMs) - bisect_left(traffic, startMs)
+    for at, start_ms in enumerate(extra):
+        end_ms = start_ms + BRIEF_TRIES_WINDOW_MS
+        within = bisect_left(extra, end_ms) - at
+        calls = bisect_left(traffic, end_ms) - bisect_left(traffic, start_ms)
         if within > BRIEF_TRIES_SHARE * calls + BRIEF_TRIES_FLOOR:
-            return [f"{within} {what} against {calls} calls from {startMs:.0f} ms on"]
+            return [f"{within} {what} against {calls} calls from {start_ms:.0f} ms on"]
     return []
 
 
@@ -191,18 +191,18 @@
     A connection of which nothing came counts as extra, unless it stands for the first try of a call that never
     reached any runner.
     """
-    traffic = sorted(call.askedMs for call in history.calls)
-    arrivals = sorted([(run.atMs, run.requestId) for run in history.runs])
-    arrivals = sorted([*arrivals, *((each.atMs, each.requestId) for each in history.refusals)])
-    reached = {requestId for _, requestId in arrivals}
+    traffic = sorted(call.asked_ms for call in history.calls)
+    arrivals = sorted([(run.at_ms, run.request_id) for run in history.runs])
+    arrivals = sorted([*arrivals, *((each.at_ms, each.request_id) for each in history.refusals)])
+    reached = {request_id for _, request_id in arrivals}
     extra = _beyond_first(arrivals)
-    failed = sorted(dial.atMs for dial in history.dials if not dial.what)
-    for call in sorted(history.calls, key=lambda each: each.askedMs):
-        if call.requestId not in reached and call.reason_of_connection():
-            at = bisect_left(failed, call.askedMs)
-            if at < len(failed) and failed[at] <= call.endMs:
+    failed = sorted(dial.at_ms for dial in history.dials if not dial.what)
+    for call in sorted(history.calls, key=lambda each: each.asked_ms):
+        if call.request_id not in reached and call.reason_of_connection():
+            at = bisect_left(failed, call.asked_ms)
+            if at < len(failed) and failed[at] <= call.end_ms:
                 failed.pop(at)
-    dialled = _beyond_first(sorted((dial.atMs, dial.requestId) for dial in history.dials if dial.what == "request"))
+    dialled = _beyond_first(sorted((dial.at_ms, dial.request_id) for dial in history.dials if dial.what == "request"))
     connections = sorted([*dialled, *failed])
     return _over(extra, traffic, "extra tries") or _over(connections, traffic, "extra connections")
 
@@ -210,19 +210,19 @@
 def _beyond_first(seen: list[tuple[float, str]]) -> list[float]:
     known: set[str] = set()
     extra = []
-    for atMs, requestId in seen:
-        if requestId in known:
-            extra.append(atMs)
-        known.add(requestId)
+    for at_ms, request_id in seen:
+        if request_id in known:
+            extra.append(at_ms)
+        known.add(request_id)
     return extra
 
 
 def refusals_tell_when(history: History) -> list[str]:
     """A final answer given for want of a seat comes with Retry-After."""
     return [
-        f"{call.requestId}: {call.status} without Retry-After"
+        f"{call.request_id}: {call.status} without Retry-After"
         for call in history.calls
-        if call.status in (429, 503) and not call.retryAfter
+        if call.status in (429, 503) and not call.retry_after
     ]
 
 
--- a/src/finchswitch/rehearsal/deployments.py
+++ b/src/finchswitch/rehearsal/deployments.py
@@ -12,13 +12,13 @@
     """One service's callers: rate, shared openings and how skewed they are, own part, answer length."""
 
     service: str
-    perS: float
+    per_s: float
     openings: int
-    openingTokens: int
-    ownTokens: int
+    opening_tokens: int
+    own_tokens: int
     pieces: int
     repeatable: bool
-    dueMs: int
+    due_ms: int
     skew: float = 1.0
 
     def body(self, chance: Random, at: int, drawn: int | None = None) -> dict[str, Any]:
@@ -26,8 +26,8 @@
         if drawn is None:
             weights = [1 / (rank + 1) ** self.skew for rank in range(self.openings)]
             drawn = chance.choices(range(self.openings), weights)[0]
-        opening = f"{self.service} {drawn:03d}. ".ljust(16, ".") * (self.openingTokens // 4)
-        own = f"case {at} ".ljust(8, ".") * (self.ownTokens // 2)
+        opening = f"{self.service} {drawn:03d}. ".ljust(16, ".") * (self.opening_tokens // 4)
+        own = f"case {at} ".ljust(8, ".") * (self.own_tokens // 2)
         messages = [{"role": "system", "content": opening}, {"role": "user", "content": own}]
         return {"model": self.service, "stream": True, "max_tokens": self.pieces, "messages": messages}
 
@@ -49,7 +49,7 @@
     def creed(self) -> dict[str, Any]:
         names = self.runner_names()
         return {
-            "services": {each.service: {"dueMs": each.dueMs} for each in self.traffic},
+            "services": {each.service: {"dueMs": each.due_ms} for each in self.traffic},
             "runners": {name: {"slots": self.slots} for name in [*names, *self.spare]},
             "bindings": {each.service: {"service": each.service, "runners": names} for each in self.traffic},
             "plans": {},
--- a/src/finchswitch/rehearsal/disk.py
+++ b/src/finchswitch/rehearsal/disk.py
@@ -20,7 +20,7 @@
         self._live: _Folders = {}
         self._durable: _Folders = {}
         self.full = False
-        self.slowMs = 0.0
+        self.slow_ms = 0.0
         self.failing = False
 
     def names(self, folder: str) -> list[str]:
@@ -46,8 +46,8 @@
         del self._live[folder][name]
 
     def _wait(self) -> None:
-        if self.slowMs:
-            self._machine.stall(self.slowMs)
+        if self.slow_ms:
+            self._machine.stall(self.slow_ms)
         if self.failing:
             raise OSError(errno.EIO, "Input/output error")
 
--- a/src/finchswitch/rehearsal/history.py
+++ b/src/finchswitch/rehearsal/history.py
@@ -13,26 +13,26 @@
 class Call:
     """One request, as its caller saw it."""
 
-    requestId: str
+    request_id: str
     service: str
     repeatable: bool
     node: str
-    askedMs: float
+    asked_ms: float
     status: int = 0
     outcome: str = ""
     generation: int = -1
     runner: str = ""
     incarnation: str = ""
     way: str = ""
-    firstMs: float = -1.0
-    endMs: float = -1.0
+    first_ms: float = -1.0
+    end_ms: float = -1.0
     pieces: list[str] = field(default_factory=list)
     numbers: list[int] = field(default_factory=list)
     done: bool = False
     reason: str = ""
     left: bool = False  # the caller went away by itself
-    retryAfter: bool = False
-    retryAfterS: float = 0.0
+    retry_after: bool = False
+    retry_after_s: float = 0.0
 
     def reason_of_connection(self) -> bool:
         """Whether it ended, as its caller was told, because no connection to a runner came about."""
@@ -43,11 +43,11 @@
 class RunSeen:
     """One execution, as the runner saw it."""
 
-    requestId: str
+    request_id: str
     runner: str
     incarnation: str
-    atMs: float
-    prefillTokens: int = 0
+    at_ms: float
+    prefill_tokens: int = 0
     cached: bool = False
     pieces: int = 0
     whole: bool = False
@@ -58,9 +58,9 @@
 class Arrival:
     """A request that reached a runner and was refused there as not started."""
 
-    requestId: str
+    request_id: str
     incarnation: str
-    atMs: float
+    at_ms: float
 
 
 @dataclass
@@ -69,9 +69,9 @@
 
     origin: str
     address: str
-    atMs: float
+    at_ms: float
     what: str = ""  # "", "vitals" or "request"
-    requestId: str = ""
+    request_id: str = ""
 
 
 @dataclass
@@ -79,8 +79,8 @@
     """A process or a runner was made to fail, from one moment to another."""
 
     name: str
-    fromMs: float
-    untilMs: float = float("inf")
+    from_ms: float
+    until_ms: float = float("inf")
 
 
 @dataclass
@@ -88,8 +88,8 @@
     """A node that said it was ready showed this generation, at some moment between the two."""
 
     node: str
-    askedMs: float
-    seenMs: float
+    asked_ms: float
+    seen_ms: float
     generation: int
 
 
@@ -97,12 +97,12 @@
 class Change:
     """One change, as its operator saw it; status 0 while it had no answer."""
 
-    changeId: str
+    change_id: str
     base: int
-    sentMs: float
+    sent_ms: float
     status: int = 0
     generation: int = -1
-    answeredMs: float = -1.0
+    answered_ms: float = -1.0
     mark: str = ""  # something found in the configuration only if this change took effect
     content: dict[str, Any] = field(default_factory=dict)
 
@@ -111,7 +111,7 @@
 class Read:
     """One read of the configuration that was said to be current."""
 
-    sentMs: float
+    sent_ms: float
     generation: int
 
 
@@ -119,7 +119,7 @@
 class ListEvent:
     incarnation: str
     what: str  # "listed", "leaving", "removed"
-    atMs: float
+    at_ms: float
 
 
 @dataclass
@@ -137,10 +137,10 @@
     marks: list[tuple[str, int, str]] = field(default_factory=list)  # (node, generation, mark) as read afterwards
     notes: dict[str, Any] = field(default_factory=dict)
 
-    def failing(self, name: str, atMs: float) -> None:
-        self.faults.append(Fault(name, atMs))
+    def failing(self, name: str, at_ms: float) -> None:
+        self.faults.append(Fault(name, at_ms))
 
-    def mended(self, name: str, atMs: float) -> None:
+    def mended(self, name: str, at_ms: float) -> None:
         for fault in self.faults:
             if fault.name == name:
-                fault.untilMs = min(fault.untilMs, atMs)
+                fault.until_ms = min(fault.until_ms, at_ms)
--- a/src/finchswitch/rehearsal/machine.py
+++ b/src/finchswitch/rehearsal/machine.py
@@ -11,16 +11,16 @@
 
 
 class Machine:
-    def __init__(self, name: str, bootMs: float) -> None:
-        self.name, self._bootMs = name, bootMs
+    def __init__(self, name: str, boot_ms: float) -> None:
+        self.name, self._boot_ms = name, boot_ms
         self._thawed = anyio.Event()
         self._thawed.set()
-        self._stalledUntilMs = -1e18
+        self._stalled_until_ms = -1e18
         self.streams: set[SimStream] = set()
         self.listeners: dict[str, SimListener] = {}
 
-    def nowMs(self) -> float:
-        return max(anyio.current_time() * 1000, self._stalledUntilMs) + self._bootMs
+    def now_ms(self) -> float:
+        return max(anyio.current_time() * 1000, self._stalled_until_ms) + self._boot_ms
 
     def freeze(self) -> None:
         if self._thawed.is_set():
@@ -29,15 +29,15 @@
     def thaw(self) -> None:
         self._thawed.set()
 
-    def stall(self, waitMs: float) -> None:
+    def stall(self, wait_ms: float) -> None:
         """A call that did not return for so long: its caller sees the time gone, and nothing else ran."""
-        self._stalledUntilMs = max(self._stalledUntilMs, anyio.current_time() * 1000) + waitMs
+        self._stalled_until_ms = max(self._stalled_until_ms, anyio.current_time() * 1000) + wait_ms
 
     async def gate(self) -> None:
         while True:
-            leftMs = self._stalledUntilMs - anyio.current_time() * 1000
-            if leftMs > 0:
-                await anyio.sleep(leftMs / 1000)
+            left_ms = self._stalled_until_ms - anyio.current_time() * 1000
+            if left_ms > 0:
+                await anyio.sleep(left_ms / 1000)
             elif self._thawed.is_set():
                 return
             else:
--- a/src/finchswitch/rehearsal/measure.py
+++ b/src/finchswitch/rehearsal/measure.py
@@ -27,11 +27,11 @@
     draw: str
     seed: int
     seconds: int = 15
-    hotMost: int | None = None
-    spillShare: float | None = None
-    beliefMs: float | None = None
-    cacheTokens: int | None = None  # of each runner
-    warmS: int = 8  # calls asked from then on are counted as warm
+    hot_most: int | None = None
+    spill_share: float | None = None
+    belief_ms: float | None = None
+    cache_tokens: int | None = None  # of each runner
+    warm_s: int = 8  # calls asked from then on are counted as warm
 
 
 def measure(trial: Trial) -> dict[str, Any]:
@@ -47,26 +47,26 @@
 def _deployment(trial: Trial) -> Deployment:
     deployment = DEPLOYMENTS[trial.deployment]
     if trial.condition == "crowd":  # one opening draws most of the short traffic, at half as much again
-        short = replace(deployment.traffic[0], perS=deployment.traffic[0].perS * 1.5, skew=3.0)
+        short = replace(deployment.traffic[0], per_s=deployment.traffic[0].per_s * 1.5, skew=3.0)
         return replace(deployment, traffic=[short, *deployment.traffic[1:]])
     return deployment
 
 
 async def _conduct(theatre: Theatre, trial: Trial) -> None:
     creed = theatre.deployment.creed()
-    if trial.cacheTokens is not None:
+    if trial.cache_tokens is not None:
         for runner in theatre.runners.values():
-            runner.traits.cacheTokens = trial.cacheTokens
+            runner.traits.cache_tokens = trial.cache_tokens
     for service in creed["services"].values():
-        service.update({} if trial.hotMost is None else {"hotMost": trial.hotMost})
-    creed["settings"].update({} if trial.spillShare is None else {"spillShare": trial.spillShare})
+        service.update({} if trial.hot_most is None else {"hotMost": trial.hot_most})
+    creed["settings"].update({} if trial.spill_share is None else {"spillShare": trial.spill_share})
     for actor in theatre.of_kind("transit"):
         node = actor.node
         while node is None:
             await theatre.outside.sleep(10)
             node = actor.node
-        if trial.beliefMs is not None:
-            node.beliefs = Beliefs(trial.beliefMs)
+        if trial.belief_ms is not None:
+            node.beliefs = Beliefs(trial.belief_ms)
         node.draws = _draws(trial.draw, node.beliefs, node.burdens, node.world.chance)
     await theatre.insist({"configuration": creed})
     await theatre.settle()
@@ -90,16 +90,16 @@
 def _figures(history: History, trial: Trial) -> dict[str, Any]:
     """All calls, and those of the warm time by themselves; the floor has each opening prefilled once, all else kept."""
     report = make_report(history)
-    first = min(call.askedMs for call in history.calls)
-    warm = [call for call in history.calls if call.askedMs >= first + 1000 * trial.warmS]
-    began = {call.requestId for call in warm}
-    warm_runs = [run for run in history.runs if run.requestId in began]
-    tokens = {each.service: each.openingTokens for each in DEPLOYMENTS[trial.deployment].traffic}
+    first = min(call.asked_ms for call in history.calls)
+    warm = [call for call in history.calls if call.asked_ms >= first + 1000 * trial.warm_s]
+    began = {call.request_id for call in warm}
+    warm_runs = [run for run in history.runs if run.request_id in began]
+    tokens = {each.service: each.opening_tokens for each in DEPLOYMENTS[trial.deployment].traffic}
 
     def own(runs: list[RunSeen]) -> int:
-        return sum(run.prefillTokens - (0 if run.cached else tokens[run.service]) for run in runs)
+        return sum(run.prefill_tokens - (0 if run.cached else tokens[run.service]) for run in runs)
 
-    once = sum(each.openings * each.openingTokens for each in DEPLOYMENTS[trial.deployment].traffic)
+    once = sum(each.openings * each.opening_tokens for each in DEPLOYMENTS[trial.deployment].traffic)
     runs = Counter(run.runner for run in history.runs)
     mean = sum(runs.values()) / max(1, len(runs))
     refused = sum(call.status == 429 or call.status == 503 for call in history.calls)
@@ -113,7 +113,7 @@
             "calls": len(warm),
             "refused": sum(call.status in (429, 503) for call in warm),
             "incomplete": sum(call.outcome != "complete" for call in warm),
-            "prefill": sum(run.prefillTokens for run in warm_runs),
+            "prefill": sum(run.prefill_tokens for run in warm_runs),
             "floor": own(warm_runs),
             "firstMs": {name: each["first_ms"] for name, each in make_report(History(calls=warm))["services"].items()},
         },
--- a/src/finchswitch/rehearsal/net.py
+++ b/src/finchswitch/rehearsal/net.py
@@ -22,8 +22,8 @@
 
 
 class Net:
-    def __init__(self, chance: Random, leastMs: float = 0.2, mostMs: float = 1.0) -> None:
-        self.chance, self._leastMs, self._mostMs = chance, leastMs, mostMs
+    def __init__(self, chance: Random, least_ms: float = 0.2, most_ms: float = 1.0) -> None:
+        self.chance, self._least_ms, self._most_ms = chance, least_ms, most_ms
         self.machines: dict[str, Machine] = {}
         self._cuts: set[tuple[str, str]] = set()
         self._changed = anyio.Event()
@@ -68,14 +68,14 @@
         while self.blocked(origin, target):
             await self._changed.wait()
 
-    def delayMs(self, *hosts: str) -> float:
+    def delay_ms(self, *hosts: str) -> float:
         """How long something takes on its way; what is lost is sent again, each time after twice the wait."""
-        delayMs = self.chance.uniform(self._leastMs, self._mostMs)
-        slowMs, lostShare = max((self.bad[host] for host in hosts if host in self.bad), default=(0.0, 0.0))
-        againMs = SIM_AGAIN_MS
-        while lostShare and self.chance.random() < lostShare:
-            delayMs, againMs = delayMs + againMs, 2 * againMs
-        return delayMs + slowMs
+        delay_ms = self.chance.uniform(self._least_ms, self._most_ms)
+        slow_ms, lost_share = max((self.bad[host] for host in hosts if host in self.bad), default=(0.0, 0.0))
+        again_ms = SIM_AGAIN_MS
+        while lost_share and self.chance.random() < lost_share:
+            delay_ms, again_ms = delay_ms + again_ms, 2 * again_ms
+        return delay_ms + slow_ms
 
     def number(self) -> int:
         self._numbers += 1
@@ -89,7 +89,7 @@
             self.dials.append(seen)
         await self.unblocked(origin.name, host_of(address))
         await self.unblocked(host_of(address), origin.name)
-        await anyio.sleep(self.delayMs(origin.name, host_of(address)) / 1000)
+        await anyio.sleep(self.delay_ms(origin.name, host_of(address)) / 1000)
         if target is None or address not in target.listeners or target.listeners[address].closed:
             raise ConnectionRefusedError(f"nobody listens at {address}")
         near, far = SimStream(self, origin, target), SimStream(self, target, origin)
@@ -104,7 +104,7 @@
         seen.what = "vitals"
     elif data.startswith(b"POST "):
         found = re.search(rb"\r\nx-request-id: ([^\r]*)\r\n", data, re.IGNORECASE)
-        seen.what, seen.requestId = "request", found[1].decode() if found else ""
+        seen.what, seen.request_id = "request", found[1].decode() if found else ""
 
 
 def host_of(address: str) -> str:
@@ -140,9 +140,11 @@
 
     def arrive(self, data: bytes, ended: str) -> None:
         if data:
-            earlierMs = self._arrivals[-1][0] if self._arrivals else 0.0
-            atMs = max(anyio.current_time() * 1000 + self._net.delayMs(self._machine.name, self._other.name), earlierMs)
-            self._arrivals.append((atMs, data))
+            earlier_ms = self._arrivals[-1][0] if self._arrivals else 0.0
+            at_ms = max(
+                anyio.current_time() * 1000 + self._net.delay_ms(self._machine.name, self._other.name), earlier_ms
+            )
+            self._arrivals.append((at_ms, data))
         self._ended = self._ended or ended
         self._notify()
 
@@ -161,18 +163,18 @@
                     continue
                 await self._event.wait()
                 continue
-            atMs, data = self._arrivals[0]
-            leftMs = atMs - anyio.current_time() * 1000
+            at_ms, data = self._arrivals[0]
+            left_ms = at_ms - anyio.current_time() * 1000
             if self._net.blocked(self._other.name, self._machine.name):
                 await self._net.unblocked(self._other.name, self._machine.name)
-            elif leftMs > 0:
-                await anyio.sleep(leftMs / 1000)
+            elif left_ms > 0:
+                await anyio.sleep(left_ms / 1000)
             else:
                 self._arrivals.popleft()
                 self._taken.set()
                 self._taken = anyio.Event()
                 if len(data) > max_bytes:
-                    self._arrivals.appendleft((atMs, data[max_bytes:]))
+                    self._arrivals.appendleft((at_ms, data[max_bytes:]))
                 return data[:max_bytes]
 
     async def send(self, item: bytes) -> None:
--- a/src/finchswitch/rehearsal/operated.py
+++ b/src/finchswitch/rehearsal/operated.py
@@ -20,7 +20,7 @@
     actors: dict[str, Any]
     changes: int
 
-    def nowMs(self) -> float:
+    def now_ms(self) -> float:
         raise NotImplementedError
 
     def of_kind(self, kind: str) -> list[Any]:
@@ -29,30 +29,30 @@
     async def change(self, base: int, content: dict[str, Any], mark: str = "", at: str = "", **fixed: Any) -> Change:
         """Send one change to one control node; its fate may stay open."""
         self.changes += 1
-        change = Change(fixed.get("changeId", f"c{self.changes}"), base, self.nowMs(), mark=mark, content=content)
+        change = Change(fixed.get("change_id", f"c{self.changes}"), base, self.now_ms(), mark=mark, content=content)
         self.history.changes.append(change)
         host = self.actors[at or self.chance.choice(self.of_kind("accord")).name].host
-        body = {"changeId": change.changeId, "base": base, "again": fixed.get("again", False), **content}
+        body = {"changeId": change.change_id, "base": base, "again": fixed.get("again", False), **content}
         try:
             async with httpx.AsyncClient(transport=self.outside.http_transport(), timeout=8) as client:
                 response = await client.post(f"http://{host}:8000/v1/changes", json=body)
             change.status, change.generation = response.status_code, response.json().get("generation", -1)
         except (httpx.HTTPError, ValueError):
             change.status = 0
-        change.answeredMs = self.nowMs()
+        change.answered_ms = self.now_ms()
         return change
 
-    async def insist(self, content: dict[str, Any], mark: str = "", mostMs: float = 20_000) -> Change:
+    async def insist(self, content: dict[str, Any], mark: str = "", most_ms: float = 20_000) -> Change:
         """Send a change until it is taken, as a patient operator would."""
-        untilMs, base = self.nowMs() + mostMs, max(0, self.newest())
+        until_ms, base = self.now_ms() + most_ms, max(0, self.newest())
         change = await self.change(base, content, mark)
-        while change.status not in (200, 202) and self.nowMs() < untilMs:
+        while change.status not in (200, 202) and self.now_ms() < until_ms:
             if change.status == 409:
                 base = change.generation
                 change = await self.change(base, content, mark)
                 continue
             await self.outside.sleep(200)
-            change = await self.change(base, content, mark, changeId=change.changeId, again=True)
+            change = await self.change(base, content, mark, change_id=change.change_id, again=True)
         return change
 
     def newest(self) -> int:
--- a/src/finchswitch/rehearsal/replay.py
+++ b/src/finchswitch/rehearsal/replay.py
@@ -27,7 +27,7 @@
 
 @dataclass(frozen=True)
 class Request:
-    atMs: float
+    at_ms: float
     headers: dict[str, str]
     body: str
 
@@ -61,8 +61,8 @@
         else:
             found.append(read)
     found.sort(key=lambda each: each[0])
-    firstMs = found[0][0] if found else 0.0
-    return Success(Recording([Request(atMs - firstMs, headers, body) for atMs, headers, body in found], skipped))
+    first_ms = found[0][0] if found else 0.0
+    return Success(Recording([Request(at_ms - first_ms, headers, body) for at_ms, headers, body in found], skipped))
 
 
 def _read_entry(raw: dict[str, Any]) -> tuple[float, dict[str, str], str] | None:
@@ -80,10 +80,10 @@
 ) -> Counter[str]:
     """Send each request at its time; counts outcomes."""
     outcomes: Counter[str] = Counter()
-    beganMs = world.nowMs()
+    began_ms = world.now_ms()
     async with anyio.create_task_group() as group:
         for request in recording.requests:
-            await world.sleep(beganMs + request.atMs / speed - world.nowMs())
+            await world.sleep(began_ms + request.at_ms / speed - world.now_ms())
             group.start_soon(_send, client, address, request, outcomes)
     return outcomes
 
--- a/src/finchswitch/rehearsal/report.py
+++ b/src/finchswitch/rehearsal/report.py
@@ -17,14 +17,14 @@
         "services": {each: _service([call for call in history.calls if call.service == each]) for each in services},
         "runs": len(runs),
         "hit_share": round(cached / len(runs), 3) if runs else 0.0,
-        "prefill_tokens": sum(run.prefillTokens for run in runs),
+        "prefill_tokens": sum(run.prefill_tokens for run in runs),
         "runs_by_runner": dict(sorted(Counter(run.runner for run in runs).items())),
         "notes": history.notes,
     }
 
 
 def _service(calls: list[Call]) -> dict[str, Any]:
-    firsts = [call.firstMs - call.askedMs for call in calls if call.firstMs >= 0]
+    firsts = [call.first_ms - call.asked_ms for call in calls if call.first_ms >= 0]
     cuts = quantiles(firsts, n=100) if len(firsts) > 1 else [0.0] * 99
     outcomes = Counter(call.outcome or "no answer" for call in calls)
     statuses = Counter(str(call.status) for call in calls)
--- a/src/finchswitch/rehearsal/runner.py
+++ b/src/finchswitch/rehearsal/runner.py
@@ -26,10 +26,10 @@
     """How a stand-in runner behaves."""
 
     slots: int = 50
-    prefillTokensPerS: float = 8_000.0
-    pieceMs: float = 20.0
-    cacheTokens: int = 60_000
-    vitalsLateMs: float = 2_000.0
+    prefill_tokens_per_s: float = 8_000.0
+    piece_ms: float = 20.0
+    cache_tokens: int = 60_000
+    vitals_late_ms: float = 2_000.0
     weights: str = "w1"
 
 
@@ -37,11 +37,11 @@
 class Run:
     """One execution, as the runner saw it."""
 
-    requestId: str
+    request_id: str
     runner: str
     incarnation: str
-    atMs: float
-    prefillTokens: int
+    at_ms: float
+    prefill_tokens: int
     cached: bool
     pieces: int = 0
     whole: bool = False
@@ -58,7 +58,7 @@
     refusing: bool = False
     refusals: list[tuple[str, float]] = field(default_factory=list)
     break_after: int | None = None  # pieces after which streams are cut
-    proofMs: float = 0.0  # how long it takes to say who it is
+    proof_ms: float = 0.0  # how long it takes to say who it is
     log: TextIO | None = None  # where runs are written down as they happen, for a process that may be killed
     lie: str = ""  # "identity" or "request": answer under a foreign name; "skip" or "twice": the second piece
 
@@ -84,13 +84,13 @@
         )
 
     async def _identity(self, request: Request) -> Response:
-        await self.world.sleep(self.proofMs)
+        await self.world.sleep(self.proof_ms)
         return JSONResponse({"runner": self.runner, "incarnation": self.incarnation})
 
     async def _metrics(self, request: Request) -> Response:
-        nowMs = self.world.nowMs()
-        late = [count for atMs, count in self._past if nowMs - atMs >= self.traits.vitalsLateMs]
-        used = sum(self._cache.values()) / self.traits.cacheTokens
+        now_ms = self.world.now_ms()
+        late = [count for at_ms, count in self._past if now_ms - at_ms >= self.traits.vitals_late_ms]
+        used = sum(self._cache.values()) / self.traits.cache_tokens
         lines = [
             "# TYPE vllm:num_requests_running gauge",
             f"vllm:num_requests_running {late[-1] if late else 0}",
@@ -101,31 +101,31 @@
 
     def note(self, change: int) -> None:
         self._running += change
-        nowMs = self.world.nowMs()
-        self._past = [each for each in self._past if nowMs - each[0] < 3 * self.traits.vitalsLateMs]
-        self._past.append((nowMs, self._running))
+        now_ms = self.world.now_ms()
+        self._past = [each for each in self._past if now_ms - each[0] < 3 * self.traits.vitals_late_ms]
+        self._past.append((now_ms, self._running))
 
     def cached(self, digest: str, tokens: int) -> bool:
         """Whether the opening was kept; it is afterwards, and the longest unused go."""
         hit = digest in self._cache
         self._cache[digest] = tokens
         self._cache.move_to_end(digest)
-        while sum(self._cache.values()) > self.traits.cacheTokens and len(self._cache) > 1:
+        while sum(self._cache.values()) > self.traits.cache_tokens and len(self._cache) > 1:
             self._cache.popitem(last=False)
         return hit
 
     async def run(self, request_id: str, body: dict[str, Any], send: Any) -> None:
         opening = opening_of(body["model"], body["messages"])
-        run = Run(request_id, self.runner, self.incarnation, self.world.nowMs(), 0, False, service=str(body["model"]))
+        run = Run(request_id, self.runner, self.incarnation, self.world.now_ms(), 0, False, service=str(body["model"]))
         self.runs.append(run)
         self.write_down(vars(run))
         self.note(1)
         try:
             async with self._slots:
                 async with self._prefill:
-                    run.cached = self.cached(opening.digest, opening.openingTokens)
-                    run.prefillTokens = opening.ownTokens + (0 if run.cached else opening.openingTokens)
-                    await self.world.sleep(1000 * run.prefillTokens / self.traits.prefillTokensPerS)
+                    run.cached = self.cached(opening.digest, opening.opening_tokens)
+                    run.prefill_tokens = opening.own_tokens + (0 if run.cached else opening.opening_tokens)
+                    await self.world.sleep(1000 * run.prefill_tokens / self.traits.prefill_tokens_per_s)
                 await self._stream(run, int(body.get("max_tokens", 20)), send)
         finally:
             self.note(-1)
@@ -134,7 +134,7 @@
     async def _stream(self, run: Run, pieces: int, send: Any) -> None:
         headers = {
             "content-type": "text/event-stream",
-            "x-request-id": "another" if self.lie == "request" else run.requestId,
+            "x-request-id": "another" if self.lie == "request" else run.request_id,
             "x-runner": "another" if self.lie == "identity" else self.runner,
             "x-incarnation": self.incarnation,
             "x-weights": self.traits.weights,
@@ -144,14 +144,14 @@
         for number in range(1, pieces + 1):
             if self.break_after is not None and number > self.break_after:
                 raise ConnectionResetError("cut on purpose")
-            delta: dict[str, Any] = {"index": 0, "delta": {"content": f"{run.requestId}:{run.incarnation}:{number} "}}
+            delta: dict[str, Any] = {"index": 0, "delta": {"content": f"{run.request_id}:{run.incarnation}:{number} "}}
             delta["finish_reason"] = "stop" if number == pieces else None
-            chunk = {"id": run.requestId, "object": "chat.completion.chunk", "choices": [delta]}
+            chunk = {"id": run.request_id, "object": "chat.completion.chunk", "choices": [delta]}
             data = f"id: {number}\ndata: {json.dumps(chunk)}\n\n".encode()
             for _ in range({"skip": 0, "twice": 2}.get(self.lie, 1) if number == 2 else 1):
                 await send({"type": "http.response.body", "body": data, "more_body": True})
             run.pieces = number
-            await self.world.sleep(self.traits.pieceMs)
+            await self.world.sleep(self.traits.piece_ms)
         run.whole = True
         self.write_down(vars(run))
         await send({"type": "http.response.body", "body": b"data: [DONE]\n\n", "more_body": False})
@@ -163,18 +163,18 @@
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         request = Request(scope, receive)
-        body, requestId = await request.json(), request.headers.get("x-request-id", "")
+        body, request_id = await request.json(), request.headers.get("x-request-id", "")
         if self._runner.refusing:
-            nowMs = self._runner.world.nowMs()
-            self._runner.refusals.append((requestId, nowMs))
-            self._runner.write_down({"refused": requestId, "incarnation": self._runner.incarnation, "atMs": nowMs})
+            now_ms = self._runner.world.now_ms()
+            self._runner.refusals.append((request_id, now_ms))
+            self._runner.write_down({"refused": request_id, "incarnation": self._runner.incarnation, "at_ms": now_ms})
             names = {"x-runner": self._runner.runner, "x-incarnation": self._runner.incarnation}
-            headers = {**names, "x-request-id": requestId, "x-outcome": "not-run"}
+            headers = {**names, "x-request-id": request_id, "x-outcome": "not-run"}
             refusal = JSONResponse({"error": "draining"}, 503, headers=headers)
             return await refusal(scope, receive, send)
         async with anyio.create_task_group() as group:
             group.start_soon(_until_gone, receive, group.cancel_scope)
-            await self._runner.run(requestId, body, send)
+            await self._runner.run(request_id, body, send)
             group.cancel_scope.cancel()
 
 
--- a/src/finchswitch/rehearsal/scenes.py
+++ b/src/finchswitch/rehearsal/scenes.py
@@ -50,10 +50,10 @@
     expect(theatre, await theatre.settle(), "the fleet becomes ready")
 
 
-async def change_often(theatre: Theatre, count: int, pauseMs: float, who: str = "") -> None:
+async def change_often(theatre: Theatre, count: int, pause_ms: float, who: str = "") -> None:
     for at in range(count):
         await theatre.insist(mark_edit(f"mark-{who}{at}"), f"mark-{who}{at}")
-        await theatre.outside.sleep(theatre.chance.uniform(0, 2 * pauseMs))
+        await theatre.outside.sleep(theatre.chance.uniform(0, 2 * pause_ms))
 
 
 async def close_up(theatre: Theatre) -> None:
@@ -64,13 +64,13 @@
         if actor.group is None and actor.kind != "runner":
             theatre.start(actor.name)
     for disk in theatre.disks.values():
-        disk.full, disk.failing, disk.slowMs = False, False, 0.0
+        disk.full, disk.failing, disk.slow_ms = False, False, 0.0
     expect(theatre, await theatre.settle(), "the fleet is ready again")
     final = await theatre.insist(mark_edit("mark-final"), "mark-final")
     expect(theatre, final.status in (200, 202), "a change is taken at the end")
     await theatre.outside.sleep(2_500)
     await theatre.call(1_500, 1.0, "-last")
-    last = [call for call in theatre.history.calls if "-last-" in call.requestId]
+    last = [call for call in theatre.history.calls if "-last-" in call.request_id]
     good = sum(call.outcome == "complete" for call in last)
     expect(theatre, good >= 0.7 * len(last), f"service at the end: {good} of {len(last)}")
     read_back(theatre, final.generation)
@@ -89,11 +89,11 @@
                     theatre.history.marks.append((actor.name, generation, name))
 
 
-async def during(theatre: Theatre, forMs: float, faults: Scene, changes: int = 6) -> None:
+async def during(theatre: Theatre, for_ms: float, faults: Scene, changes: int = 6) -> None:
     """Call and change for a while, with the faults in between."""
     async with anyio.create_task_group() as group:
-        group.start_soon(theatre.call, forMs, 1.0)
-        group.start_soon(change_often, theatre, changes, forMs / changes / 2)
+        group.start_soon(theatre.call, for_ms, 1.0)
+        group.start_soon(change_often, theatre, changes, for_ms / changes / 2)
         await faults(theatre)
 
 
@@ -105,8 +105,8 @@
     return [actor.name for actor in theatre.of_kind("transit")]
 
 
-async def pause(theatre: Theatre, mostMs: float) -> None:
-    await theatre.outside.sleep(theatre.chance.uniform(0.2, 1.0) * mostMs)
+async def pause(theatre: Theatre, most_ms: float) -> None:
+    await theatre.outside.sleep(theatre.chance.uniform(0.2, 1.0) * most_ms)
 
 
 @scene
--- a/src/finchswitch/rehearsal/scenes_core.py
+++ b/src/finchswitch/rehearsal/scenes_core.py
@@ -124,9 +124,9 @@
                 theatre.start(name)
                 await theatre.outside.sleep(7_000)
             disk.full, disk.failing = kind == "full", kind == "fail"
-            disk.slowMs = {"slow": 150.0, "stall": 1_200.0}.get(kind, 0.0)
+            disk.slow_ms = {"slow": 150.0, "stall": 1_200.0}.get(kind, 0.0)
             await pause(theatre, 2_500)
-            disk.full, disk.failing, disk.slowMs = False, False, 0.0
+            disk.full, disk.failing, disk.slow_ms = False, False, 0.0
             await pause(theatre, 800)
 
     await open_up(theatre)
--- a/src/finchswitch/rehearsal/scenes_load.py
+++ b/src/finchswitch/rehearsal/scenes_load.py
@@ -27,18 +27,18 @@
 
 
 async def call_many(
-    theatre: Theatre, traffic: Traffic, count: int, overMs: float, opening: int, tag: str
+    theatre: Theatre, traffic: Traffic, count: int, over_ms: float, opening: int, tag: str
 ) -> list[Call]:
     """Many callers with one opening within a moment."""
     calls: list[Call] = []
     transport = theatre.outside.http_transport()
     async with httpx.AsyncClient(transport=transport) as client, anyio.create_task_group() as group:
         for at in range(count):
-            await theatre.outside.sleep(overMs / count)
+            await theatre.outside.sleep(over_ms / count)
             node = theatre.desk.hand(theatre.chance.choice(theatre.deployment.districts))
             if node is None:
                 continue
-            call = Call(f"{tag}-{at}", traffic.service, traffic.repeatable, node, theatre.outside.nowMs())
+            call = Call(f"{tag}-{at}", traffic.service, traffic.repeatable, node, theatre.outside.now_ms())
             calls.append(call)
             theatre.history.calls.append(call)
             body = traffic.body(theatre.chance, at, opening)
@@ -48,7 +48,7 @@
 
 def _answered_at_once(theatre: Theatre, calls: list[Call]) -> None:
     refused = [call for call in calls if call.status in (429, 503) and call.outcome == "not-run"]
-    slow = [call for call in refused if call.endMs - call.askedMs > 100]
+    slow = [call for call in refused if call.end_ms - call.asked_ms > 100]
     expect(theatre, not slow, f"{len(slow)} of {len(refused)} refusals were held back")
 
 
@@ -77,12 +77,12 @@
     await open_up(theatre)
     short = theatre.deployment.traffic[0]
     carries = 1000 * theatre.deployment.slots / 20  # pieces a second, at 20 ms each
-    popular = replace(short, dueMs=8_000, pieces=round(0.7 * carries / 25))
+    popular = replace(short, due_ms=8_000, pieces=round(0.7 * carries / 25))
     await call_many(theatre, popular, 250, 10_000, 0, "popular")
     shown = {name: theatre.actors[name].node.hot(short.service) for name in transits(theatre)}  # type: ignore[union-attr]
     expect(theatre, all(len(hot) == 1 for hot in shown.values()), f"one hot opening at every node: {shown}")
     late = [run for run in [run for runner in theatre.runners.values() for run in runner.runs][-600:]]
-    spread = {run.runner for run in late if run.requestId.startswith("popular")}
+    spread = {run.runner for run in late if run.request_id.startswith("popular")}
     expect(theatre, len(spread) == theatre.deployment.runners, f"spread over {sorted(spread)}")
     await close_up(theatre)
 
@@ -93,12 +93,12 @@
 
     async def faults(_: Theatre) -> None:
         await pause(theatre, 1_000)
-        before = {name: (r.traits.pieceMs, r.traits.prefillTokensPerS) for name, r in theatre.runners.items()}
+        before = {name: (r.traits.piece_ms, r.traits.prefill_tokens_per_s) for name, r in theatre.runners.items()}
         for runner in theatre.runners.values():
-            runner.traits.pieceMs, runner.traits.prefillTokensPerS = 400.0, 500.0
+            runner.traits.piece_ms, runner.traits.prefill_tokens_per_s = 400.0, 500.0
         await theatre.outside.sleep(6_000)
         for name, runner in theatre.runners.items():
-            runner.traits.pieceMs, runner.traits.prefillTokensPerS = before[name]
+            runner.traits.piece_ms, runner.traits.prefill_tokens_per_s = before[name]
         await theatre.outside.sleep(2_000)
 
     await open_up(theatre)
@@ -111,7 +111,7 @@
 async def all_refuse(theatre: Theatre) -> None:
     """Every runner refuses as not started while a crowd calls: extra tries stay within their budget."""
     await open_up(theatre)
-    long = replace(theatre.deployment.traffic[1], openingTokens=100, ownTokens=10)
+    long = replace(theatre.deployment.traffic[1], opening_tokens=100, own_tokens=10)
     for runner in theatre.runners.values():
         runner.refusing = True
     calls = await call_many(theatre, long, 400, 5_000, 0, "refused")
@@ -134,7 +134,7 @@
     async with httpx.AsyncClient(transport=transport) as client, anyio.create_task_group() as group:
         for at in range(60):
             node = theatre.desk.hand(theatre.chance.choice(theatre.deployment.districts)) or "transit1"
-            call = Call(f"leaver-{at}", traffic.service, False, node, theatre.outside.nowMs(), left=True)
+            call = Call(f"leaver-{at}", traffic.service, False, node, theatre.outside.now_ms(), left=True)
             calls.append(call)
             theatre.history.calls.append(call)
             address, body = theatre.desk.nodes[node][0], traffic.body(theatre.chance, at)
@@ -176,7 +176,7 @@
         theatre.history.notes["final"] = name
     await theatre.outside.sleep(4_000)
     await theatre.call(3_000, 1.0, "-after")
-    after = [call for call in theatre.history.calls if "-after-" in call.requestId]
+    after = [call for call in theatre.history.calls if "-after-" in call.request_id]
     good = sum(call.outcome == "complete" for call in after)
     expect(theatre, good >= 0.8 * len(after), f"{good} of {len(after)} served past {name}")
     change = await theatre.insist({"edits": [{"kind": "services", "name": "mark-x", "value": {}}]}, "mark-x")
--- a/src/finchswitch/rehearsal/scenes_losses.py
+++ b/src/finchswitch/rehearsal/scenes_losses.py
@@ -20,10 +20,12 @@
 from finchswitch.rehearsal.theatre import Theatre
 
 
-def _served(theatre: Theatre, fromMs: float, seconds: int) -> list[int]:
+def _served(theatre: Theatre, from_ms: float, seconds: int) -> list[int]:
     """Calls that ended whole in each second from then on."""
-    bootMs = theatre.outside.nowMs() - theatre.nowMs()
-    ended = Counter(int((c.endMs - bootMs - fromMs) // 1000) for c in theatre.history.calls if c.outcome == "complete")
+    boot_ms = theatre.outside.now_ms() - theatre.now_ms()
+    ended = Counter(
+        int((c.end_ms - boot_ms - from_ms) // 1000) for c in theatre.history.calls if c.outcome == "complete"
+    )
     return [ended[second] for second in range(seconds)]
 
 
@@ -39,7 +41,7 @@
     async with anyio.create_task_group() as group:
         group.start_soon(theatre.call, 31_000, 1.0, "", 3)
         await theatre.outside.sleep(8_000)
-        normal = sum(_served(theatre, theatre.nowMs() - 4_000, 4)) / 4
+        normal = sum(_served(theatre, theatre.now_ms() - 4_000, 4)) / 4
         own = [*accords(theatre), *transits(theatre)]
         names = [*theatre.deployment.runner_names(), *theatre.deployment.spare]
         for name in own:
@@ -60,8 +62,8 @@
             if way != "a core never" or name != lost:
                 theatre.start(name)
                 await theatre.outside.sleep(500 if way == "one by one" else 0)
-        backMs = theatre.nowMs()
-    series = _served(theatre, backMs, 16)
+        back_ms = theatre.now_ms()
+    series = _served(theatre, back_ms, 16)
     theatre.history.notes["served each second"] = [way, round(normal, 1), series]
     at12 = sum(series[11:14]) / 3
     expect(theatre, at12 >= 0.5 * normal, f"{way}: {at12:.1f} a second at 12 s, {normal:.1f} before: {series}")
@@ -144,8 +146,8 @@
         district = theatre.chance.choice(sorted(set(theatre.deployment.districts)))
         hosts = [actor.host for actor in theatre.of_kind("transit") if actor.district == district]
         hosts.append(theatre.actors[theatre.chance.choice(accords(theatre))].host)
-        for slowMs, lostShare in ((60.0, 0.0), (20.0, 0.1)):
-            theatre.net.bad = {host: (slowMs, lostShare) for host in hosts}
+        for slow_ms, lost_share in ((60.0, 0.0), (20.0, 0.1)):
+            theatre.net.bad = {host: (slow_ms, lost_share) for host in hosts}
             await theatre.outside.sleep(4_000)
             theatre.net.bad = {}
             await theatre.outside.sleep(1_000)
@@ -160,11 +162,11 @@
 async def change_storm(theatre: Theatre) -> None:
     """Operators race and send many in a row, one of them hundreds of bindings, while relays and a node are lost."""
     await open_up(theatre)
-    runners, stopMs = theatre.deployment.runner_names(), theatre.nowMs() + 12_000
+    runners, stop_ms = theatre.deployment.runner_names(), theatre.now_ms() + 12_000
 
     async def operate(who: int) -> None:
         base, at = theatre.newest(), 0
-        while theatre.nowMs() < stopMs:
+        while theatre.now_ms() < stop_ms:
             at += 1
             mark = f"mark-{who}-{at}"
             edits = list(mark_edit(mark)["edits"])
@@ -176,7 +178,7 @@
             change = await theatre.change(base, {"edits": edits}, mark)
             while change.status in (0, 504):
                 await theatre.outside.sleep(100)
-                change = await theatre.change(base, {"edits": edits}, mark, changeId=change.changeId, again=True)
+                change = await theatre.change(base, {"edits": edits}, mark, change_id=change.change_id, again=True)
             base = change.generation if change.generation >= 0 else theatre.newest()
             await theatre.outside.sleep(theatre.chance.uniform(0, 250))
 
@@ -191,7 +193,7 @@
             await pause(theatre, 2_500)
             theatre.start(name)
     statuses = Counter(change.status for change in theatre.history.changes)
-    waits = sorted(c.answeredMs - c.sentMs for c in theatre.history.changes if c.status == 200)
+    waits = sorted(c.answered_ms - c.sent_ms for c in theatre.history.changes if c.status == 200)
     theatre.history.notes["storm"] = [dict(statuses), round(waits[len(waits) // 2]), round(waits[-1])]
     expect(theatre, statuses[202] <= 0.1 * statuses[200], f"202 is rare with one node lost: {dict(statuses)}")
     await close_up(theatre)
--- a/src/finchswitch/rehearsal/scenes_mixed.py
+++ b/src/finchswitch/rehearsal/scenes_mixed.py
@@ -42,9 +42,9 @@
 async def _bad_disk(theatre: Theatre) -> None:
     disk = theatre.disks[theatre.chance.choice(accords(theatre))]
     disk.full = theatre.chance.random() < 0.5
-    disk.slowMs = theatre.chance.choice([0.0, 200.0, 800.0])
+    disk.slow_ms = theatre.chance.choice([0.0, 200.0, 800.0])
     await theatre.outside.sleep(theatre.chance.uniform(300, 2_500))
-    disk.full, disk.slowMs = False, 0.0
+    disk.full, disk.slow_ms = False, 0.0
 
 
 async def _bad_runner(theatre: Theatre) -> None:
--- a/src/finchswitch/rehearsal/scenes_nodes.py
+++ b/src/finchswitch/rehearsal/scenes_nodes.py
@@ -92,7 +92,7 @@
         theatre.start(name)
     await theatre.outside.sleep(12_000 - 3_000)
     await theatre.call(3_000, 1.0, "-back")
-    back = [call for call in theatre.history.calls if "-back-" in call.requestId]
+    back = [call for call in theatre.history.calls if "-back-" in call.request_id]
     good = sum(call.outcome == "complete" for call in back)
     expect(theatre, good >= 0.25 * len(back), f"{good} of {len(back)} served after the return")
     await close_up(theatre)
--- a/src/finchswitch/rehearsal/scenes_plans.py
+++ b/src/finchswitch/rehearsal/scenes_plans.py
@@ -44,20 +44,20 @@
     return theatre.chance.choice(transits(theatre))
 
 
-async def _until(theatre: Theatre, phase: str, mostMs: float, share: float = 0.0) -> None:
-    untilMs = theatre.nowMs() + mostMs
-    while theatre.nowMs() < untilMs:
+async def _until(theatre: Theatre, phase: str, most_ms: float, share: float = 0.0) -> None:
+    until_ms = theatre.now_ms() + most_ms
+    while theatre.now_ms() < until_ms:
         now = _standing(theatre)
         if now[0] == phase and now[1] >= share:
             return
         await theatre.outside.sleep(100)
-    expect(theatre, False, f"the plan is {phase} within {mostMs:.0f} ms, not {_standing(theatre)}")
+    expect(theatre, False, f"the plan is {phase} within {most_ms:.0f} ms, not {_standing(theatre)}")
 
 
-def _runs_since(theatre: Theatre, incarnation: str, sinceMs: float) -> int:
+def _runs_since(theatre: Theatre, incarnation: str, since_ms: float) -> int:
     runner = theatre.runners[incarnation]
-    bootMs = runner.world.nowMs() - theatre.nowMs()
-    return sum(run.atMs - bootMs > sinceMs for run in runner.runs)
+    boot_ms = runner.world.now_ms() - theatre.now_ms()
+    return sum(run.at_ms - boot_ms > since_ms for run in runner.runs)
 
 
 async def _watch_shares(theatre: Theatre, seen: list[float]) -> None:
@@ -96,13 +96,15 @@
         await _until(theatre, "done", 30_000)
     expect(theatre, _standing(theatre)[0] == "done", f"the plan is done: {_standing(theatre)}")
     _expect_steps(theatre, seen)
-    doneMs = theatre.nowMs()
+    done_ms = theatre.now_ms()
     await theatre.call(2_000, 1.0, "-moved")
     for traffic in theatre.deployment.traffic:  # every opening once: which of them are the arriving runner's is by hash
         for opening in range(traffic.openings):
             await call_many(theatre, traffic, 1, 100, opening, f"{traffic.service}-{opening}")
-    expect(theatre, _runs_since(theatre, f"{_leaving(theatre)}-i1", doneMs) == 0, "nothing more for the leaving runner")
-    expect(theatre, _runs_since(theatre, f"{_arriving(theatre)}-i1", doneMs) > 0, "the arriving runner serves")
+    expect(
+        theatre, _runs_since(theatre, f"{_leaving(theatre)}-i1", done_ms) == 0, "nothing more for the leaving runner"
+    )
+    expect(theatre, _runs_since(theatre, f"{_arriving(theatre)}-i1", done_ms) > 0, "the arriving runner serves")
     await close_up(theatre)
 
 
@@ -147,12 +149,12 @@
         await _until(theatre, "shifting", 5_000, share=held[1] + 0.125)
         await theatre.insist(_plan(theatre, "abandoned"))
         await _until(theatre, "returned", 15_000)
-    backMs = theatre.nowMs()
+    back_ms = theatre.now_ms()
     await theatre.call(2_000, 1.0, "-back")
     expect(
-        theatre, _runs_since(theatre, f"{_arriving(theatre)}-i1", backMs) == 0, "nothing more for the arriving runner"
+        theatre, _runs_since(theatre, f"{_arriving(theatre)}-i1", back_ms) == 0, "nothing more for the arriving runner"
     )
-    expect(theatre, _runs_since(theatre, f"{_leaving(theatre)}-i1", backMs) > 0, "the old runner serves again")
+    expect(theatre, _runs_since(theatre, f"{_leaving(theatre)}-i1", back_ms) > 0, "the old runner serves again")
     await close_up(theatre)
 
 
--- a/src/finchswitch/rehearsal/storms.py
+++ b/src/finchswitch/rehearsal/storms.py
@@ -20,7 +20,7 @@
 async def _operate(theatre: Theatre, who: int) -> None:
     """An operator that builds on what it last heard, whatever that was."""
     base, at = 1, 0
-    while theatre.nowMs() < STORM_MS:
+    while theatre.now_ms() < STORM_MS:
         at += 1
         mark = f"mark-{who}-{at}"
         change = await theatre.change(base, mark_edit(mark), mark)
@@ -28,19 +28,19 @@
             if change.status not in (0, 504):
                 break
             await theatre.outside.sleep(theatre.chance.uniform(10, 400))
-            change = await theatre.change(base, mark_edit(mark), mark, changeId=change.changeId, again=True)
+            change = await theatre.change(base, mark_edit(mark), mark, change_id=change.change_id, again=True)
         base = change.generation if change.generation >= 0 else base
         await theatre.outside.sleep(theatre.chance.uniform(10, 400))
 
 
 async def _read(theatre: Theatre) -> None:
     async with httpx.AsyncClient(transport=theatre.outside.http_transport(), timeout=2) as client:
-        while theatre.nowMs() < STORM_MS:
-            host, sentMs = theatre.chance.choice(theatre.of_kind("accord")).host, theatre.nowMs()
+        while theatre.now_ms() < STORM_MS:
+            host, sent_ms = theatre.chance.choice(theatre.of_kind("accord")).host, theatre.now_ms()
             try:
                 answer = await client.get(f"http://{host}:8000/v1/configuration?current=true")
                 if answer.status_code == 200:
-                    theatre.history.reads.append(Read(sentMs, answer.json()["generation"]))
+                    theatre.history.reads.append(Read(sent_ms, answer.json()["generation"]))
             except httpx.HTTPError:
                 pass
             await theatre.outside.sleep(theatre.chance.uniform(5, 100))
@@ -50,7 +50,7 @@
     theatre.net.heal_all()
     for actor in theatre.of_kind("accord"):
         theatre.machine(actor.name).thaw()
-        theatre.disks[actor.name].slowMs = 0.0
+        theatre.disks[actor.name].slow_ms = 0.0
         if actor.group is None:
             theatre.start(actor.name)
     await theatre.outside.sleep(3_000)
@@ -66,7 +66,7 @@
         for who in range(STORM_OPERATORS):
             group.start_soon(_operate, theatre, who)
         group.start_soon(_read, theatre)
-        while theatre.nowMs() < STORM_MS:
+        while theatre.now_ms() < STORM_MS:
             await theatre.outside.sleep(theatre.chance.uniform(20, 1_500))
             await fault(theatre)
     await _close(theatre)
@@ -98,9 +98,9 @@
         await theatre.outside.sleep(theatre.chance.uniform(100, 3_000))
         theatre.thaw(name)
     else:
-        theatre.disks[name].slowMs = theatre.chance.choice([30.0, 300.0, 900.0])
+        theatre.disks[name].slow_ms = theatre.chance.choice([30.0, 300.0, 900.0])
         await theatre.outside.sleep(theatre.chance.uniform(100, 2_000))
-        theatre.disks[name].slowMs = 0.0
+        theatre.disks[name].slow_ms = 0.0
 
 
 async def kills_storm(theatre: Theatre) -> None:
@@ -148,8 +148,8 @@
 
 
 async def _operate_at(theatre: Theatre, at: str) -> None:
-    untilMs, base, number = theatre.nowMs() + 8_000, 1, 0
-    while theatre.nowMs() < untilMs:
+    until_ms, base, number = theatre.now_ms() + 8_000, 1, 0
+    while theatre.now_ms() < until_ms:
         number += 1
         mark = f"mark-{at}-{number}"
         change = await theatre.change(base, mark_edit(mark), mark, at=at)
--- a/src/finchswitch/rehearsal/theatre.py
+++ b/src/finchswitch/rehearsal/theatre.py
@@ -152,7 +152,7 @@
     def kill(self, name: str, power: bool = False) -> None:
         """kill -9, or the power gone: then peers see nothing, and the disk loses what was not synced."""
         actor = self.actors[name]
-        self.history.faults.append(Fault(name, self.nowMs(), self.nowMs()))
+        self.history.faults.append(Fault(name, self.now_ms(), self.now_ms()))
         if power:
             self.net.darken(actor.host)
             if name in self.disks:
@@ -179,7 +179,7 @@
 
     def failing(self, name: str) -> None:
         """From now on what it cuts is excused, until it is mended."""
-        self.history.failing(name, self.nowMs())
+        self.history.failing(name, self.now_ms())
 
     def freeze(self, name: str) -> None:
         self.failing(name)
@@ -188,7 +188,7 @@
     def thaw(self, name: str) -> None:
         """Whatever was wrong with it is over."""
         self.machine(name).thaw()
-        self.history.mended(name, self.nowMs())
+        self.history.mended(name, self.now_ms())
 
     def isolate(self, name: str, others: list[str], both: bool = True) -> None:
         for other in others:
@@ -198,23 +198,23 @@
 
     # What callers do.
 
-    def nowMs(self) -> float:
+    def now_ms(self) -> float:
         return anyio.current_time() * 1000
 
-    async def call(self, forMs: float, share: float, tag: str = "", patience: int = 0) -> None:
+    async def call(self, for_ms: float, share: float, tag: str = "", patience: int = 0) -> None:
         """Callers at a share of the deployment's rate, until their last answer; refused, they may come back."""
         async with httpx.AsyncClient(transport=self.outside.http_transport(), trust_env=False) as client:
             async with anyio.create_task_group() as group:
-                untilMs = self.outside.nowMs() + forMs
+                until_ms = self.outside.now_ms() + for_ms
                 for traffic in self.deployment.traffic:
-                    scaled = type(traffic)(**{**vars(traffic), "perS": traffic.perS * share})
+                    scaled = type(traffic)(**{**vars(traffic), "per_s": traffic.per_s * share})
                     calling = Calling(self.outside, self.desk, scaled, self.history, client, group, tag, patience)
-                    group.start_soon(call_openly, calling, untilMs)
+                    group.start_soon(call_openly, calling, until_ms)
 
-    async def settle(self, mostMs: float = 20_000) -> bool:
+    async def settle(self, most_ms: float = 20_000) -> bool:
         """Wait until every transit that runs is ready."""
-        untilMs = self.nowMs() + mostMs
-        while self.nowMs() < untilMs:
+        until_ms = self.now_ms() + most_ms
+        while self.now_ms() < until_ms:
             running = [actor.name for actor in self.of_kind("transit") if actor.group is not None]
             if running and all(self.desk.ready.get(name) for name in running):
                 return True
@@ -222,19 +222,19 @@
         return False
 
     def close(self) -> History:
-        bootMs = self.outside.nowMs() - self.nowMs()
+        boot_ms = self.outside.now_ms() - self.now_ms()
         for call in self.history.calls:
-            call.askedMs -= bootMs
-            call.firstMs -= bootMs if call.firstMs >= 0 else 0
-            call.endMs -= bootMs if call.endMs >= 0 else 0
+            call.asked_ms -= boot_ms
+            call.first_ms -= boot_ms if call.first_ms >= 0 else 0
+            call.end_ms -= boot_ms if call.end_ms >= 0 else 0
         for sight in self.history.sights:
-            sight.askedMs, sight.seenMs = sight.askedMs - bootMs, sight.seenMs - bootMs
+            sight.asked_ms, sight.seen_ms = sight.asked_ms - boot_ms, sight.seen_ms - boot_ms
         self.history.dials = self.net.dials
         for runner in self.runners.values():
-            bootMs = runner.world.nowMs() - self.nowMs()
+            boot_ms = runner.world.now_ms() - self.now_ms()
             self.history.refusals += [
-                Arrival(each, runner.incarnation, atMs - bootMs) for each, atMs in runner.refusals
+                Arrival(each, runner.incarnation, at_ms - boot_ms) for each, at_ms in runner.refusals
             ]
-            self.history.runs += [RunSeen(**{**vars(run), "atMs": run.atMs - bootMs}) for run in runner.runs]
+            self.history.runs += [RunSeen(**{**vars(run), "at_ms": run.at_ms - boot_ms}) for run in runner.runs]
         self.history.allowed |= {each for each in self.runners if self.runners[each].runner != "stranger"}
         return self.history
--- a/src/finchswitch/rehearsal/world.py
+++ b/src/finchswitch/rehearsal/world.py
@@ -83,16 +83,16 @@
         self.chance = Random(seed)
         self.formats = (WIRE_FORMAT, WIRE_READS)
 
-    def nowMs(self) -> float:
-        return self._machine.nowMs()
+    def now_ms(self) -> float:
+        return self._machine.now_ms()
 
-    async def sleep(self, waitMs: float) -> None:
-        await anyio.sleep(max(0.0, waitMs) / 1000)
+    async def sleep(self, wait_ms: float) -> None:
+        await anyio.sleep(max(0.0, wait_ms) / 1000)
         await self._machine.gate()
 
-    async def dial(self, address: str, waitMs: float) -> ByteStream:
+    async def dial(self, address: str, wait_ms: float) -> ByteStream:
         await self._machine.gate()
-        with anyio.fail_after(waitMs / 1000):
+        with anyio.fail_after(wait_ms / 1000):
             return await self._net.dial(self._machine, address)
 
     async def listen(self, address: str) -> SimListener:
--- a/src/finchswitch/relay/follow.py
+++ b/src/finchswitch/relay/follow.py
@@ -21,7 +21,7 @@
     def __init__(self, world: World, book: Book, news: NewsBook, member: Member) -> None:
         self._world, self._book, self._news, self._member = world, book, news, member
         self._passed: dict[str, float] = {}
-        self._behindMs: float | None = None
+        self._behind_ms: float | None = None
         self.source = ""
 
     async def follow(self) -> None:
@@ -45,7 +45,7 @@
                     await self._snapshot()
                     continue
                 _log.info("Going elsewhere for news. {}", mishap)
-                self._passed[self.source] = self._world.nowMs() + ELSEWHERE_MS
+                self._passed[self.source] = self._world.now_ms() + ELSEWHERE_MS
                 await self._world.sleep(BEHIND_MS / 10)
 
     async def _snapshot(self) -> None:
@@ -55,14 +55,14 @@
             self._news.take_in(field(answer, "news", dict, self.source), self.source)
         except Mishap as mishap:
             _log.info("No snapshot. {}", mishap)
-            self._passed[self.source] = self._world.nowMs() + ELSEWHERE_MS
+            self._passed[self.source] = self._world.now_ms() + ELSEWHERE_MS
 
     def _draw_source(self) -> str:
-        nowMs = self._world.nowMs()
+        now_ms = self._world.now_ms()
         have, wants = self._news.generations(), self._member.wants()
         behind = any(generation > have.get(part, -1) for part, generation in wants.items())
-        self._behindMs = (self._behindMs or nowMs) if behind else None
-        late = self._behindMs is not None and nowMs - self._behindMs > BEHIND_MS
+        self._behind_ms = (self._behind_ms or now_ms) if behind else None
+        late = self._behind_ms is not None and now_ms - self._behind_ms > BEHIND_MS
         parent = parent_of(self._member.card["name"], self._member.members)
         addresses = {each["name"]: each["address"] for each in self._member.members}
         choices = [addresses[parent]] if parent in addresses and not late else []
@@ -73,5 +73,5 @@
                 for beat in self._member.heard_peers()
                 if any(generation > have.get(part, -1) for part, generation in beat["generations"].items())
             )
-        open_now = [each for each in choices if self._passed.get(each, 0.0) <= nowMs]
+        open_now = [each for each in choices if self._passed.get(each, 0.0) <= now_ms]
         return str((open_now or choices or [""])[0])
--- a/src/finchswitch/relay/news.py
+++ b/src/finchswitch/relay/news.py
@@ -45,19 +45,19 @@
         self._event = anyio.Event()
         return True
 
-    async def wait_news(self, have: dict[str, int], waitMs: float) -> Message:
+    async def wait_news(self, have: dict[str, int], wait_ms: float) -> Message:
         """What is newer than ``have``, at once or within the time; empty when there was nothing."""
         event, news = self._event, self.since(have)
         if not news:
-            with anyio.move_on_after(waitMs / 1000):
+            with anyio.move_on_after(wait_ms / 1000):
                 await event.wait()
             news = self.since(have)
         return news
 
     async def answer_follower(self, body: Message, peer: str) -> Message:
         """Answer a ``news.follow`` ask, the same on either plane."""
-        have, holdMs = field(body, "have", dict, peer), field(body, "holdMs", int, peer)
-        return {"news": await self.wait_news(have, holdMs)}
+        have, hold_ms = field(body, "have", dict, peer), field(body, "holdMs", int, peer)
+        return {"news": await self.wait_news(have, hold_ms)}
 
     def since(self, have: dict[str, int]) -> Message:
         return {
--- a/src/finchswitch/transit/attempt.py
+++ b/src/finchswitch/transit/attempt.py
@@ -51,21 +51,21 @@
     last: bool
 
 
-async def pieces_of(known: Known, prompt: Prompt, ticket: Ticket, firstWaitMs: float) -> AsyncGenerator[Piece, None]:
+async def pieces_of(known: Known, prompt: Prompt, ticket: Ticket, first_wait_ms: float) -> AsyncGenerator[Piece, None]:
     """Send the prompt and yield the answer's pieces; raises a TryMishap unless the answer came whole."""
     TICKET.set(ticket)
-    headers = {"content-type": "application/json", "accept": "text/event-stream", "x-request-id": prompt.requestId}
+    headers = {"content-type": "application/json", "accept": "text/event-stream", "x-request-id": prompt.request_id}
     url = f"http://{known.address}/v1/chat/completions"
     step, request = "send", known.client.build_request("POST", url, content=prompt.body, headers=headers)
     try:
-        with anyio.fail_after(firstWaitMs / 1000):
+        with anyio.fail_after(first_wait_ms / 1000):
             response = await known.client.send(request, stream=True)
         try:
             step = "answer"
             weights = _check_head(response, known, prompt)
             async with aclosing(_events(response, known)) as events:
                 held: list[dict[str, Any]] = []
-                with anyio.fail_after(firstWaitMs / 1000):
+                with anyio.fail_after(first_wait_ms / 1000):
                     first = await anext(events)
                 step = "stream"
                 content: dict[str, Any] | None = first
@@ -94,7 +94,7 @@
     shown = (response.headers.get("x-runner"), response.headers.get("x-incarnation"))
     if shown != (known.runner, known.incarnation):
         raise TryMishap(Fate.UNKNOWN, "answer", known.runner, f"answered as {shown}")
-    if response.headers.get("x-request-id") != prompt.requestId:
+    if response.headers.get("x-request-id") != prompt.request_id:
         raise TryMishap(Fate.UNKNOWN, "answer", known.runner, "answered another request")
     if response.status_code != 200:
         refused = response.headers.get("x-outcome") == Fate.NOT_RUN.value
--- a/src/finchswitch/transit/doors.py
+++ b/src/finchswitch/transit/doors.py
@@ -55,13 +55,13 @@
 
 def believed(node: Node) -> dict[str, Any]:
     """What this node believes of the fleet, for people and for ``mirror``."""
-    nowMs, creed = node.world.nowMs(), node.creed()
+    now_ms, creed = node.world.now_ms(), node.creed()
     runners = {
         known.incarnation: {
             "runner": known.runner,
             "address": known.address,
             "state": known.walker.state.value,
-            "seats": node.burdens.seats(known.incarnation, nowMs),
+            "seats": node.burdens.seats(known.incarnation, now_ms),
             "weights": node.beliefs.weights(known.incarnation),
             "openings": node.beliefs.counts().get(known.incarnation, 0),
         }
--- a/src/finchswitch/transit/duties.py
+++ b/src/finchswitch/transit/duties.py
@@ -42,7 +42,7 @@
         self._node = node
         self.vitals: dict[str, list[Any]] = {}
         self._seen_fences: dict[str, int] = {}
-        self._planMs: dict[str, float] = {}
+        self._plan_ms: dict[str, float] = {}
         self._busy: set[str] = set()
 
     async def tend(self) -> None:
@@ -112,7 +112,7 @@
         known = self._node.roster.up().get(name)
         if known is None:
             return
-        askedMs = self._node.world.nowMs()
+        asked_ms = self._node.world.now_ms()
         try:
             response = await known.reader.get(f"http://{known.address}/metrics", timeout=ASK_WAIT_MS / 1000)
         except httpx.HTTPError as error:
@@ -120,32 +120,32 @@
                 self._node.roster.down(known, str(error))
             raise Mishap(MishapKind.SILENT, "vitals", name, repr(error)) from None
         running = read_running(response.text, name)
-        self.vitals[name] = [fence, known.incarnation, running, askedMs]
-        self._node.burdens.report(known.incarnation, running, askedMs)
+        self.vitals[name] = [fence, known.incarnation, running, asked_ms]
+        self._node.burdens.report(known.incarnation, running, asked_ms)
 
     async def _merge_hot(self, key: str, name: str, fence: int) -> None:
-        service, nowMs = self._node.creed().services[name], self._node.world.nowMs()
-        _, shares = self._node.popularity(name).top(4 * HOT_MOST, nowMs)
+        service, now_ms = self._node.creed().services[name], self._node.world.now_ms()
+        _, shares = self._node.popularity(name).top(4 * HOT_MOST, now_ms)
         for beat in self._node.member.heard_peers():
             _, told = beat["counts"].get(name, (0.0, {}))
             for digest, share in told.items():
                 shares[digest] = shares.get(digest, 0.0) + share
         held = self._node.hot(name)
-        hot = pick_hot(shares, held, service.hotMost, service.hotEnterShare, service.hotLeaveShare)
+        hot = pick_hot(shares, held, service.hot_most, service.hot_enter_share, service.hot_leave_share)
         if hot != held:
             value = {"fence": fence, "openings": hot}
             await self._edit(key, self._fence(key), [{"kind": "hot", "name": name, "value": value}])
             _log.info("Hot set of {} is {} under fence {}.", name, hot, fence)
 
     async def _advance_plan(self, key: str, name: str, fence: int) -> None:
-        nowMs = self._node.world.nowMs()
-        if nowMs - self._planMs.get(name, -1e18) < PLAN_STEP_MS:
+        now_ms = self._node.world.now_ms()
+        if now_ms - self._plan_ms.get(name, -1e18) < PLAN_STEP_MS:
             return
-        self._planMs[name] = nowMs
+        self._plan_ms[name] = now_ms
         plan, held = self._node.creed().plans[name], self._node.plan_state(name)
         up = self._node.roster.up()
         seats = sum(
-            self._node.burdens.seats(known.incarnation, nowMs)
+            self._node.burdens.seats(known.incarnation, now_ms)
             for known in self._node.roster.known.values()
             if known.runner in plan.leaving
         )
@@ -159,15 +159,15 @@
 
     def words(self) -> dict[str, list[Any]]:
         """Vitals read here, each with its fence and its age."""
-        nowMs = self._node.world.nowMs()
-        return {name: [fence, inc, run, nowMs - atMs] for name, (fence, inc, run, atMs) in self.vitals.items()}
+        now_ms = self._node.world.now_ms()
+        return {name: [fence, inc, run, now_ms - at_ms] for name, (fence, inc, run, at_ms) in self.vitals.items()}
 
     def hear(self, words: dict[str, list[Any]]) -> None:
         """A peer's vitals; older fences are ignored."""
-        for name, (fence, incarnation, running, ageMs) in words.items():
+        for name, (fence, incarnation, running, age_ms) in words.items():
             if fence >= self._seen_fences.get(name, 0):
                 self._seen_fences[name] = fence
-                self._node.burdens.report(incarnation, running, self._node.world.nowMs() - ageMs)
+                self._node.burdens.report(incarnation, running, self._node.world.now_ms() - age_ms)
 
 
 def read_running(text: str, peer: str) -> float:
--- a/src/finchswitch/transit/node.py
+++ b/src/finchswitch/transit/node.py
@@ -68,7 +68,7 @@
         return self._creed[1]
 
     def tries_share(self) -> float:
-        return self.creed().settings.triesShare
+        return self.creed().settings.tries_share
 
     def may_grant(self) -> bool:
         return self.member.may_grant()
@@ -83,7 +83,7 @@
         ticket.refused = able is None or ticket.runner not in able[0]
         if not ticket.refused:
             ticket.generation = self.generation()
-            self.sent.note(ticket.requestId, ticket.repeatable, self.world.nowMs())
+            self.sent.note(ticket.request_id, ticket.repeatable, self.world.now_ms())
         return not ticket.refused
 
     def popularity(self, service: str) -> Popularity:
@@ -91,8 +91,8 @@
 
     def called(self) -> dict[str, tuple[float, dict[str, float]]]:
         """The highest counts of each service that was called lately."""
-        nowMs = self.world.nowMs()
-        tops = {name: each.top(2 * HOT_MOST, nowMs) for name, each in self._popularity.items()}
+        now_ms = self.world.now_ms()
+        tops = {name: each.top(2 * HOT_MOST, now_ms) for name, each in self._popularity.items()}
         return {name: top for name, top in tops.items() if top[0] >= 1.0}
 
     def count_opening(self, opening: Opening) -> None:
@@ -101,9 +101,9 @@
         name = self._bound.get(opening.service)
         if name is not None:
             bound = [creed.runners[each] for each in creed.bindings[name].runners]
-            prefillMs = 1000 * opening.ownTokens / min(each.prefillTokensPerS for each in bound)
-            slotMs = self.burdens.serviceMs(opening.service) / min(each.slots for each in bound)
-            self.popularity(opening.service).count(opening.digest, max(prefillMs, slotMs), self.world.nowMs())
+            prefill_ms = 1000 * opening.own_tokens / min(each.prefill_tokens_per_s for each in bound)
+            slot_ms = self.burdens.service_ms(opening.service) / min(each.slots for each in bound)
+            self.popularity(opening.service).count(opening.digest, max(prefill_ms, slot_ms), self.world.now_ms())
 
     def hot(self, service: str) -> list[str]:
         record = self.news.body(part_of(f"hot/{service}")).get("hot", {}).get(service)
@@ -120,9 +120,9 @@
         if name is None:
             return None
         binding = creed.bindings[name]
-        for planName, plan in creed.plans.items():
+        for plan_name, plan in creed.plans.items():
             if name in plan.bindings:
-                held = self.plan_state(planName)
+                held = self.plan_state(plan_name)
                 before, after, share = runners_under(plan, binding.runners, held)
                 phase = PlanPhase(held["phase"]) if held else PlanPhase.WAITING
                 if phase in (PlanPhase.WAITING, PlanPhase.RETURNED):
@@ -132,11 +132,11 @@
                 return sorted({*before, *after}), owners(digest, before, after, share)
         return binding.runners, binding.runners
 
-    def grant(self, prompt: Prompt, tried: set[str], beganMs: float) -> tuple[Drawn, float] | Refusal:
+    def grant(self, prompt: Prompt, tried: set[str], began_ms: float) -> tuple[Drawn, float] | Refusal:
         """A seat for the prompt and the time left until its due, or why there is none."""
         if not self.may_grant():
             return Refusal(503, f"this node is {self.member.state.value}")
-        creed, opening, nowMs = self.creed(), prompt.opening, self.world.nowMs()
+        creed, opening, now_ms = self.creed(), prompt.opening, self.world.now_ms()
         service = creed.services.get(prompt.service)
         if service is None:
             return Refusal(404, "model: no such service")
@@ -145,18 +145,18 @@
             return Refusal(503, "no binding for this service")
         up = self.roster.up()
         seatable = [
-            Seatable(name, up[name].incarnation, creed.runners[name].slots, creed.runners[name].prefillTokensPerS)
+            Seatable(name, up[name].incarnation, creed.runners[name].slots, creed.runners[name].prefill_tokens_per_s)
             for name in able[0]
             if name in up and name not in tried
         ]
         if not seatable:
             return Refusal(503, "no runner may be sent to now")
-        dueMs = (prompt.dueMs or float(service.dueMs)) - (nowMs - beganMs)
-        choices = Choices(self.hot(prompt.service), seatable, able[1], creed.settings.spillShare)
-        drawn = self.draws.draw(opening, choices, dueMs, nowMs)
+        due_ms = (prompt.due_ms or float(service.due_ms)) - (now_ms - began_ms)
+        choices = Choices(self.hot(prompt.service), seatable, able[1], creed.settings.spill_share)
+        drawn = self.draws.draw(opening, choices, due_ms, now_ms)
         if drawn is None:
             return Refusal(429, "no runner can give a timely first token")
-        return drawn, dueMs
+        return drawn, due_ms
 
     async def forget_gone(self) -> None:
         """Forget incarnations that are long unlisted and carry nothing of ours."""
@@ -175,13 +175,13 @@
 
     def speak(self) -> Message:
         """What this node adds to its beats to peers."""
-        nowMs = self.world.nowMs()
+        now_ms = self.world.now_ms()
         return {
-            "burden": self.burdens.spoken(nowMs),
-            "held": self.beliefs.spoken(nowMs),
-            "pace": self.burdens.paces.spoken(nowMs),
+            "burden": self.burdens.spoken(now_ms),
+            "held": self.beliefs.spoken(now_ms),
+            "pace": self.burdens.paces.spoken(now_ms),
             "leaving": self.roster.leaving(),
-            "listAgeMs": self.roster.listAgeMs(),
+            "listAgeMs": self.roster.list_age_ms(),
             "counts": self.called(),
             "vitals": self.duties.words(),
         }
@@ -191,5 +191,5 @@
         self.roster.hear_peer(beat["leaving"], beat["listAgeMs"])
         self.duties.hear(beat["vitals"])
         heard = self.member.heard_peers()
-        self.burdens.hear_peers(heard, self.world.nowMs())
+        self.burdens.hear_peers(heard, self.world.now_ms())
         self.beliefs.hear_peers(heard)
--- a/src/finchswitch/transit/plans.py
+++ b/src/finchswitch/transit/plans.py
@@ -43,14 +43,14 @@
     """What the duty holder sees of a plan's runners."""
 
     arrived: bool
-    leavingSeats: float
+    leaving_seats: float
 
 
 def advance(plan: Plan, held: dict[str, Any] | None, sight: PlanSight) -> dict[str, Any]:
     """The plan's next standing.
 
     >>> plan = Plan(leaving=["a"], arriving=["b"], bindings=["m"])
-    >>> one = advance(plan, None, PlanSight(arrived=True, leavingSeats=3))
+    >>> one = advance(plan, None, PlanSight(arrived=True, leaving_seats=3))
     >>> one
     {'phase': 'shifting', 'share': 0.0}
     >>> advance(plan, one, PlanSight(True, 3))
@@ -78,7 +78,7 @@
         share = min(1.0, share + PLAN_STEP_SHARE)
         if share == 1.0:
             walker.take(PlanEvent.SHIFTED)
-    elif walker.state is PlanPhase.DRAINING and sight.leavingSeats == 0:
+    elif walker.state is PlanPhase.DRAINING and sight.leaving_seats == 0:
         walker.take(PlanEvent.DRAINED)
     return {"phase": walker.state.value, "share": share}
 
--- a/src/finchswitch/transit/platform.py
+++ b/src/finchswitch/transit/platform.py
@@ -50,11 +50,11 @@
     return listed
 
 
-async def fetch_list(client: httpx.AsyncClient, address: str, waitMs: float) -> list[Listed]:
+async def fetch_list(client: httpx.AsyncClient, address: str, wait_ms: float) -> list[Listed]:
     """Poll the list once."""
     url = f"http://{address}/apis/discovery.k8s.io/v1/endpointslices"
     try:
-        response = await client.get(url, timeout=waitMs / 1000)
+        response = await client.get(url, timeout=wait_ms / 1000)
         response.raise_for_status()
         return read_list(response.json(), address)
     except httpx.HTTPError as error:
--- a/src/finchswitch/transit/prompt.py
+++ b/src/finchswitch/transit/prompt.py
@@ -25,10 +25,10 @@
 
 @dataclass(frozen=True)
 class Prompt:
-    requestId: str
+    request_id: str
     service: str
     repeatable: bool
-    dueMs: float | None
+    due_ms: float | None
     body: bytes
     opening: Opening
 
@@ -57,14 +57,16 @@
     >>> check_prompt({"x-due-ms": "soon"}, b"{}", "i").failure()
     Refusal(status=400, reason='x-due-ms: not a number of milliseconds from 50 to 120000')
     """
-    requestId = headers.get("x-request-id", fresh_id)
-    if not 1 <= len(requestId) <= REQUEST_ID_MOST or not (requestId.isascii() and requestId.isprintable()):
+    request_id = headers.get("x-request-id", fresh_id)
+    if not 1 <= len(request_id) <= REQUEST_ID_MOST or not (request_id.isascii() and request_id.isprintable()):
         return Failure(Refusal(400, f"x-request-id: 1 to {REQUEST_ID_MOST} printable characters"))
     repeatable = headers.get("x-repeatable", "no").lower()
     if repeatable not in ("yes", "no"):
         return Failure(Refusal(400, "x-repeatable: yes or no"))
-    dueMs = headers.get("x-due-ms")
-    if dueMs is not None and not (dueMs.isascii() and dueMs.isdigit() and DUE_LEAST_MS <= int(dueMs) <= DUE_MOST_MS):
+    due_ms = headers.get("x-due-ms")
+    if due_ms is not None and not (
+        due_ms.isascii() and due_ms.isdigit() and DUE_LEAST_MS <= int(due_ms) <= DUE_MOST_MS
+    ):
         reason = f"x-due-ms: not a number of milliseconds from {DUE_LEAST_MS} to {DUE_MOST_MS}"
         return Failure(Refusal(400, reason))
     try:
@@ -75,8 +77,8 @@
     if wrong:
         return Failure(Refusal(400, wrong))
     opening = opening_of(content["model"], content["messages"])
-    due = float(dueMs) if dueMs is not None else None
-    return Success(Prompt(requestId, content["model"], repeatable == "yes", due, body, opening))
+    due = float(due_ms) if due_ms is not None else None
+    return Success(Prompt(request_id, content["model"], repeatable == "yes", due, body, opening))
 
 
 def _wrong(content: Any) -> str:
--- a/src/finchswitch/transit/proof.py
+++ b/src/finchswitch/transit/proof.py
@@ -26,7 +26,7 @@
 class Ticket:
     """What is about to be sent, and what the last check said of it."""
 
-    requestId: str
+    request_id: str
     repeatable: bool
     service: str
     digest: str
--- a/src/finchswitch/transit/roster.py
+++ b/src/finchswitch/transit/roster.py
@@ -52,8 +52,8 @@
     def __init__(self, listed: Listed, world: World, permit: Permit) -> None:
         self.runner, self.incarnation, self.address = listed.runner, listed.incarnation, listed.address
         self.walker = Walker(_CHART, f"{listed.runner}/{listed.incarnation}")
-        self.downUntilMs = 0.0
-        self.listedMs = world.nowMs()
+        self.down_until_ms = 0.0
+        self.listed_ms = world.now_ms()
         timeout = httpx.Timeout(RUNNER_SILENT_MS / 1000, connect=PROOF_WAIT_MS / 1000)
         proof = RunnerProof(listed.runner, listed.incarnation, permit)
         fresh, kept = world.http_transport(proof, fresh=True), world.http_transport(proof)
@@ -66,13 +66,13 @@
         self._world, self._platform, self._permit = world, platform, permit
         self._client = httpx.AsyncClient(transport=world.http_transport(), trust_env=False)
         self.known: dict[str, Known] = {}
-        self._polledMs = -1e18
-        self._heardMs = -1e18
+        self._polled_ms = -1e18
+        self._heard_ms = -1e18
         self._leaving_told: set[str] = set()
 
     async def poll(self) -> None:
         while True:
-            askedMs = self._world.nowMs()
+            asked_ms = self._world.now_ms()
             try:
                 listed = await fetch_list(self._client, self._platform, LIST_WAIT_MS)
             except Mishap as mishap:
@@ -80,7 +80,7 @@
                 await self._world.sleep(LIST_POLL_MS / 10)
                 continue
             self.take(listed)
-            self._polledMs = askedMs
+            self._polled_ms = asked_ms
             await self._world.sleep(LIST_POLL_MS)
 
     def take(self, listed: list[Listed]) -> None:
@@ -93,7 +93,7 @@
             if known is None or known.address != each.address:
                 known = self.known[each.incarnation] = Known(each, self._world, self._permit)
                 _log.info("Runner {}/{} is listed at {}.", each.runner, each.incarnation, each.address)
-            known.listedMs = self._world.nowMs()
+            known.listed_ms = self._world.now_ms()
             leaves = each.leaving or each.incarnation in self._leaving_told
             self._move(known, RunnerEvent.LEAVES if leaves else RunnerEvent.LISTED)
         for incarnation, known in self.known.items():
@@ -106,10 +106,10 @@
         if after is not before:
             _log.info("Runner {}/{} is {}.", known.runner, known.incarnation, after.value)
 
-    def hear_peer(self, leaving: list[str], listAgeMs: float) -> None:
+    def hear_peer(self, leaving: list[str], list_age_ms: float) -> None:
         """A peer's answer: who it saw leaving, and how old its list was."""
         self.hear_leaving(leaving)
-        self._heardMs = max(self._heardMs, self._world.nowMs() - listAgeMs - PEER_SILENT_MS)
+        self._heard_ms = max(self._heard_ms, self._world.now_ms() - list_age_ms - PEER_SILENT_MS)
 
     def hear_leaving(self, leaving: list[str]) -> None:
         for incarnation in leaving:
@@ -121,25 +121,25 @@
     def leaving(self) -> list[str]:
         return sorted(each.incarnation for each in self.known.values() if each.walker.state is RunnerState.LEAVING)
 
-    def listAgeMs(self) -> float:
-        return min(self._world.nowMs() - self._polledMs, 1e9)
+    def list_age_ms(self) -> float:
+        return min(self._world.now_ms() - self._polled_ms, 1e9)
 
     def readable(self) -> bool:
         """Whether the list is known well enough to grant seats by it."""
-        return self._world.nowMs() - max(self._polledMs, self._heardMs) <= LIST_UNKNOWN_MS
+        return self._world.now_ms() - max(self._polled_ms, self._heard_ms) <= LIST_UNKNOWN_MS
 
     def up(self) -> dict[str, Known]:
         """Runners that may be sent to now, by name."""
         if not self.readable():
             return {}
-        nowMs = self._world.nowMs()
-        fit = [k for k in self.known.values() if k.walker.state is RunnerState.UP and k.downUntilMs <= nowMs]
+        now_ms = self._world.now_ms()
+        fit = [k for k in self.known.values() if k.walker.state is RunnerState.UP and k.down_until_ms <= now_ms]
         return {each.runner: each for each in fit}
 
     def long_gone(self) -> list[str]:
         """Incarnations that the list has not shown for long."""
-        nowMs = self._world.nowMs()
-        return [inc for inc, known in self.known.items() if nowMs - known.listedMs > FORGET_MS]
+        now_ms = self._world.now_ms()
+        return [inc for inc, known in self.known.items() if now_ms - known.listed_ms > FORGET_MS]
 
     async def forget(self, incarnation: str) -> None:
         """Drop an incarnation and its client; that it was leaving stays known."""
@@ -155,5 +155,5 @@
         return self.readable() and known is not None and known.walker.state is RunnerState.UP
 
     def down(self, known: Known, why: str) -> None:
-        known.downUntilMs = self._world.nowMs() + DOWN_MS
+        known.down_until_ms = self._world.now_ms() + DOWN_MS
         _log.info("Runner {} is passed over for now. {}", known.runner, why)
--- a/src/finchswitch/transit/seat.py
+++ b/src/finchswitch/transit/seat.py
@@ -27,24 +27,24 @@
     def __init__(self, world: World, drawn: Drawn, burdens: Burdens, beliefs: Beliefs) -> None:
         self._world, self._drawn, self._burdens, self._beliefs = world, drawn, burdens, beliefs
         self._walker = Walker(_CHART, drawn.runner.runner)
-        self._grantedMs = world.nowMs()
-        msAToken = 1000 / drawn.runner.prefillTokensPerS
-        burdens.take(self, drawn.runner.incarnation, drawn.prefillTokens, msAToken, self._grantedMs)
+        self._granted_ms = world.now_ms()
+        ms_a_token = 1000 / drawn.runner.prefill_tokens_per_s
+        burdens.take(self, drawn.runner.incarnation, drawn.prefill_tokens, ms_a_token, self._granted_ms)
         beliefs.granted(drawn.runner.incarnation, drawn.opening)
 
     def begun(self, weights: str) -> None:
         """The first piece came: the runner holds the opening now, under these weights."""
         self._walker.take(SeatEvent.BEGIN)
-        incarnation, nowMs = self._drawn.runner.incarnation, self._world.nowMs()
-        self._burdens.begun(self, incarnation, nowMs)
+        incarnation, now_ms = self._drawn.runner.incarnation, self._world.now_ms()
+        self._burdens.begun(self, incarnation, now_ms)
         self._beliefs.answered(incarnation, weights)
         self._beliefs.settled(incarnation, self._drawn.opening.digest)
-        self._beliefs.sent(incarnation, self._drawn.opening.digest, nowMs)
+        self._beliefs.sent(incarnation, self._drawn.opening.digest, now_ms)
 
     def free(self) -> None:
-        incarnation, nowMs = self._drawn.runner.incarnation, self._world.nowMs()
-        self._burdens.begun(self, incarnation, nowMs)
+        incarnation, now_ms = self._drawn.runner.incarnation, self._world.now_ms()
+        self._burdens.begun(self, incarnation, now_ms)
         if self._walker.state is SeatState.GRANTED:
             self._beliefs.settled(incarnation, self._drawn.opening.digest)
         self._walker.take(SeatEvent.FREE)
-        self._burdens.free(incarnation, self._drawn.opening.service, nowMs - self._grantedMs)
+        self._burdens.free(incarnation, self._drawn.opening.service, now_ms - self._granted_ms)
--- a/src/finchswitch/transit/sent.py
+++ b/src/finchswitch/transit/sent.py
@@ -15,18 +15,18 @@
     def __init__(self) -> None:
         self._kept: OrderedDict[str, tuple[float, bool]] = OrderedDict()
 
-    def note(self, requestId: str, repeatable: bool, nowMs: float) -> None:
+    def note(self, request_id: str, repeatable: bool, now_ms: float) -> None:
         """The request is about to leave for a runner."""
-        self._kept[requestId] = (nowMs, repeatable)
-        self._kept.move_to_end(requestId)
-        while len(self._kept) > SENT_MOST or nowMs - next(iter(self._kept.values()))[0] > SENT_KEEP_MS:
+        self._kept[request_id] = (now_ms, repeatable)
+        self._kept.move_to_end(request_id)
+        while len(self._kept) > SENT_MOST or now_ms - next(iter(self._kept.values()))[0] > SENT_KEEP_MS:
             self._kept.popitem(last=False)
 
-    def take_back(self, requestId: str) -> None:
+    def take_back(self, request_id: str) -> None:
         """It surely did not run."""
-        self._kept.pop(requestId, None)
+        self._kept.pop(request_id, None)
 
-    def bars(self, requestId: str, repeatable: bool, nowMs: float) -> bool:
+    def bars(self, request_id: str, repeatable: bool, now_ms: float) -> bool:
         """Whether the id may not be run again: it was sent lately, and not both sendings may be repeated.
 
         >>> sent = Sent()
@@ -34,5 +34,5 @@
         >>> sent.bars("a", True, 1.0), sent.bars("b", False, 1.0), sent.bars("a", False, 600_001.0)
         (True, False, False)
         """
-        atMs, before = self._kept.get(requestId, (-1e18, True))
-        return nowMs - atMs <= SENT_KEEP_MS and not (before and repeatable)
+        at_ms, before = self._kept.get(request_id, (-1e18, True))
+        return now_ms - at_ms <= SENT_KEEP_MS and not (before and repeatable)
--- a/src/finchswitch/transit/tries.py
+++ b/src/finchswitch/transit/tries.py
@@ -16,11 +16,11 @@
         self._extra: deque[float] = deque()
         self.made = 0
 
-    def prompt(self, nowMs: float) -> None:
-        self._prompts.append(nowMs)
-        self._forget(nowMs)
+    def prompt(self, now_ms: float) -> None:
+        self._prompts.append(now_ms)
+        self._forget(now_ms)
 
-    def take(self, share: float, nowMs: float) -> bool:
+    def take(self, share: float, now_ms: float) -> bool:
         """Whether one more extra try may be made now; if so it is counted.
 
         >>> tries = Tries()
@@ -29,14 +29,14 @@
         >>> tries.take(0.15, 10_001.0)
         True
         """
-        self._forget(nowMs)
+        self._forget(now_ms)
         if len(self._extra) + 1 > TRIES_FLOOR + share * len(self._prompts):
             return False
-        self._extra.append(nowMs)
+        self._extra.append(now_ms)
         self.made += 1
         return True
 
-    def _forget(self, nowMs: float) -> None:
+    def _forget(self, now_ms: float) -> None:
         for kept in (self._prompts, self._extra):
-            while kept and nowMs - kept[0] > TRIES_WINDOW_MS:
+            while kept and now_ms - kept[0] > TRIES_WINDOW_MS:
                 kept.popleft()
--- a/src/finchswitch/wire/client.py
+++ b/src/finchswitch/wire/client.py
@@ -24,7 +24,7 @@
 
 
 class Dialer(Protocol):
-    async def dial(self, address: str, waitMs: float) -> ByteStream: ...
+    async def dial(self, address: str, wait_ms: float) -> ByteStream: ...
 
 
 class _Stream(httpcore.AsyncNetworkStream):
@@ -79,10 +79,10 @@
         local_address: str | None = None,
         socket_options: Iterable[Any] | None = None,
     ) -> httpcore.AsyncNetworkStream:
-        address, waitMs = f"{host}:{port}", (timeout or 5.0) * 1000
+        address, wait_ms = f"{host}:{port}", (timeout or 5.0) * 1000
         try:
-            with anyio.fail_after(waitMs / 1000):
-                stream = await self._dialer.dial(address, waitMs)
+            with anyio.fail_after(wait_ms / 1000):
+                stream = await self._dialer.dial(address, wait_ms)
                 if self._proof is not None:
                     try:
                         await self._proof(stream, address)
--- a/src/finchswitch/wire/link.py
+++ b/src/finchswitch/wire/link.py
@@ -68,10 +68,10 @@
         self._links: dict[str, _Link] = {}
         self._locks: dict[str, anyio.Lock] = {}
 
-    async def ask(self, address: str, kind: str, body: Message, waitMs: float = ASK_WAIT_MS) -> Message:
+    async def ask(self, address: str, kind: str, body: Message, wait_ms: float = ASK_WAIT_MS) -> Message:
         """Send one ask and return its answer; a Mishap SILENT means that its fate is open."""
         step = f"ask {kind}"
-        with anyio.move_on_after(waitMs / 1000):
+        with anyio.move_on_after(wait_ms / 1000):
             link = await self._link(address, step)
             number = next(link.numbers)
             send, receive = anyio.create_memory_object_stream[Message](1)
@@ -92,7 +92,7 @@
                 raise Mishap(MishapKind.REFUSED, step, address, str(answer["mishap"]))
             content: Message = field(answer, "body", dict, address)
             return content
-        raise Mishap(MishapKind.SILENT, step, address, f"no answer in {waitMs:.0f} ms")
+        raise Mishap(MishapKind.SILENT, step, address, f"no answer in {wait_ms:.0f} ms")
 
     def _drop(self, address: str, link: _Link) -> None:
         link.open = False
--- a/src/finchswitch/wire/real.py
+++ b/src/finchswitch/wire/real.py
@@ -43,12 +43,12 @@
         await self._listener.aclose()
 
 
-def _listening(address: str, stillMs: int) -> socket.socket:
+def _listening(address: str, still_ms: int) -> socket.socket:
     """A bound socket whose connections the kernel closes when the other end takes nothing for so long."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, stillMs)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, still_ms)
     try:
         sock.bind(split_address(address))
     except OSError as error:
@@ -58,19 +58,19 @@
 
 
 class RealWorld:
-    def __init__(self, seed: int | None = None, stillMs: int = CALLER_STILL_MS) -> None:
-        self.chance, self.stillMs = Random(seed), stillMs
+    def __init__(self, seed: int | None = None, still_ms: int = CALLER_STILL_MS) -> None:
+        self.chance, self.still_ms = Random(seed), still_ms
         self.formats = (WIRE_FORMAT, WIRE_READS)
 
-    def nowMs(self) -> float:
+    def now_ms(self) -> float:
         return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000
 
-    async def sleep(self, waitMs: float) -> None:
-        await anyio.sleep(max(0.0, waitMs) / 1000)
+    async def sleep(self, wait_ms: float) -> None:
+        await anyio.sleep(max(0.0, wait_ms) / 1000)
 
-    async def dial(self, address: str, waitMs: float) -> ByteStream:
+    async def dial(self, address: str, wait_ms: float) -> ByteStream:
         host, port = split_address(address)
-        with anyio.fail_after(waitMs / 1000):
+        with anyio.fail_after(wait_ms / 1000):
             try:
                 return await anyio.connect_tcp(host, port)
             except OSError as error:
@@ -88,7 +88,7 @@
 
     async def serve_http(self, app: Any, address: str, stop: anyio.Event) -> None:
         config = Config()
-        config.bind = [f"fd://{_listening(address, self.stillMs).detach()}"]
+        config.bind = [f"fd://{_listening(address, self.still_ms).detach()}"]
         config.graceful_timeout = (ANSWER_LONGEST_MS + CALLER_STILL_MS) / 1000
         config.keep_alive_timeout = 30
         config.accesslog, config.errorlog = None, logging.getLogger("hypercorn.quiet")
--- a/tests/test_affinity.py
+++ b/tests/test_affinity.py
@@ -31,8 +31,8 @@
     return beliefs, burdens, Draws(beliefs, burdens, Random(3))
 
 
-def draw(draws, prompt, hot=(), runners=RUNNERS, dueMs=5_000):
-    return draws.draw(prompt, Choices(list(hot), list(runners), NAMES, 0.9), dueMs, 0.0)
+def draw(draws, prompt, hot=(), runners=RUNNERS, due_ms=5_000):
+    return draws.draw(prompt, Choices(list(hot), list(runners), NAMES, 0.9), due_ms, 0.0)
 
 
 def test_an_opening_that_is_not_hot_goes_to_its_home(parts):
@@ -69,22 +69,22 @@
     _, burdens, draws = parts
     home = home_order("o", NAMES)[0]
     burdens.take(object(), f"{home}-i1", 9_000, 1.0, 0.0)
-    drawn = draw(draws, opening("o"), dueMs=1_000)
+    drawn = draw(draws, opening("o"), due_ms=1_000)
     assert drawn.way is Way.TIMELY and drawn.runner.runner != home
     for each in RUNNERS:
         burdens.take(object(), each.incarnation, 9_000, 1.0, 0.0)
-    assert draw(draws, opening("o"), dueMs=1_000) is None
+    assert draw(draws, opening("o"), due_ms=1_000) is None
 
 
 def test_prefill_counts_the_opening_only_where_it_is_not_believed(parts):
     beliefs, _, draws = parts
     home = home_order("o", NAMES)[0]
-    assert draw(draws, opening("o", 3_000)).firstMs == pytest.approx(3_010)
+    assert draw(draws, opening("o", 3_000)).first_ms == pytest.approx(3_010)
     beliefs.answered(f"{home}-i1", "w1")
     beliefs.sent(f"{home}-i1", "o", 0.0)
-    assert draw(draws, opening("o", 3_000)).firstMs == pytest.approx(10)
+    assert draw(draws, opening("o", 3_000)).first_ms == pytest.approx(10)
     beliefs.answered(f"{home}-i1", "w2")
-    assert draw(draws, opening("o", 3_000)).firstMs == pytest.approx(3_010)
+    assert draw(draws, opening("o", 3_000)).first_ms == pytest.approx(3_010)
 
 
 def test_a_runner_that_joins_takes_only_what_it_owns():
@@ -116,7 +116,7 @@
     beat = {"heardMs": 300.0, "pace": {}, "burden": {"i": [1, [[250.0, 13_000]]]}}
     burdens.hear_peers([beat], 300.0)
     assert burdens.pace("i", 1_500.0) == 1.0
-    assert burdens.backlogMs("i", 0.125, 1_500.0) == pytest.approx(50 + 13_030 * 0.125 - 1_500)
+    assert burdens.backlog_ms("i", 0.125, 1_500.0) == pytest.approx(50 + 13_030 * 0.125 - 1_500)
     assert burdens.pace("i", 3_300.0) == pytest.approx(2.0, abs=0.01)
 
 
@@ -124,7 +124,7 @@
     burdens = Burdens()
     beat = {"heardMs": 100.0, "pace": {}, "burden": {"i": [2, [[100.0, 8_000], [20.0, 8_000]]]}}
     burdens.hear_peers([beat], 100.0)
-    assert burdens.backlogMs("i", 0.125, 900.0) == pytest.approx(1_100.0)
+    assert burdens.backlog_ms("i", 0.125, 900.0) == pytest.approx(1_100.0)
     later = {"heardMs": 1_100.0, "pace": {}, "burden": {"i": [1, [[1_020.0, 8_000]]]}}
     burdens.hear_peers([later], 1_100.0)
-    assert burdens.backlogMs("i", 0.125, 1_200.0) == pytest.approx(900.0)
+    assert burdens.backlog_ms("i", 0.125, 1_200.0) == pytest.approx(900.0)
