--- a/tests/test_checkers.py
+++ b/tests/test_checkers.py
@@ -20,7 +20,7 @@
 def whole_call(number=1, **changed):
     name = f"c{number}"
     call = Call(name, "m", False, "t1", 1000.0 * number, 200, "complete", 1, "r", "r-i1", "home")
-    call.firstMs, call.endMs, call.done = call.askedMs + 10, call.askedMs + 50, True
+    call.first_ms, call.end_ms, call.done = call.asked_ms + 10, call.asked_ms + 50, True
     call.pieces, call.numbers = [f"{name}:r-i1:1 ", f"{name}:r-i1:2 "], [1, 2]
     for field, value in changed.items():
         setattr(call, field, value)
@@ -28,7 +28,7 @@
 
 
 def run_of(call, **changed):
-    run = RunSeen(call.requestId, "r", "r-i1", call.askedMs + 1, pieces=2, whole=True, service=call.service)
+    run = RunSeen(call.request_id, "r", "r-i1", call.asked_ms + 1, pieces=2, whole=True, service=call.service)
     for field, value in changed.items():
         setattr(run, field, value)
     return run
@@ -39,8 +39,8 @@
     return History(calls=list(calls), runs=runs, allowed={"r-i1"}, **rest)
 
 
-def change_of(name, base, status, generation, answeredMs=0.0):
-    return Change(name, base, answeredMs - 100, status, generation, answeredMs, mark=name)
+def change_of(name, base, status, generation, answered_ms=0.0):
+    return Change(name, base, answered_ms - 100, status, generation, answered_ms, mark=name)
 
 
 ONE = whole_call()
@@ -61,9 +61,9 @@
 }
 
 
-def binding(name, base, sentMs, runners, status=200):
+def binding(name, base, sent_ms, runners, status=200):
     content = {"edits": [{"kind": "bindings", "name": "b", "value": {"service": "m", "runners": runners}}]}
-    return Change(name, base, sentMs, status, base + 1, sentMs + 100, content=content)
+    return Change(name, base, sent_ms, status, base + 1, sent_ms + 100, content=content)
 
 
 EIGHT = [whole_call(n) for n in range(1, 9)]
--- a/tests/test_commit_steps.py
+++ b/tests/test_commit_steps.py
@@ -31,7 +31,7 @@
         other = await theatre.insist(mark_edit("mark-b"), "mark-b")
         again = first
         while again.status not in (200, 202, 409):
-            again = await theatre.change(1, mark_edit("mark-a"), "mark-a", changeId=first.changeId, again=True)
+            again = await theatre.change(1, mark_edit("mark-a"), "mark-a", change_id=first.change_id, again=True)
         if theatre.actors[owner].group is None:
             theatre.start(owner)
         await theatre.outside.sleep(3_000)
--- a/tests/test_doors.py
+++ b/tests/test_doors.py
@@ -30,10 +30,10 @@
         await open_up(theatre)
         async with httpx.AsyncClient(transport=theatre.outside.http_transport()) as client:
             for body, headers, _ in cases:
-                beganMs = theatre.nowMs()
+                began_ms = theatre.now_ms()
                 url = "http://10.0.1.1:8000/v1/chat/completions"
                 answer = await client.post(url, content=body, headers=headers)
-                got.append((answer.status_code, answer.headers["x-outcome"], theatre.nowMs() - beganMs < 100))
+                got.append((answer.status_code, answer.headers["x-outcome"], theatre.now_ms() - began_ms < 100))
             assert (await client.post("http://10.0.1.1:8000/v1/nothing")).status_code == 404
             assert (await client.get("http://10.0.1.1:8000/v1/chat/completions")).status_code == 405
 
@@ -76,7 +76,7 @@
             await theatre.outside.sleep(3_000)
             assert (await client.post(url, json=GOOD, headers={"x-request-id": "n"})).status_code == 200
 
-    assert sorted(run.requestId for run in staged(scene).runs) == ["n", "r", "r"]
+    assert sorted(run.request_id for run in staged(scene).runs) == ["n", "r", "r"]
 
 
 def test_a_caller_that_leaves_frees_its_seat_and_the_runner(staged):
@@ -136,9 +136,9 @@
             creed["services"][f"extra-{at}"] = {"dueMs": 5_000}
             creed["bindings"][f"extra-{at}"] = {"service": f"extra-{at}", "runners": theatre.deployment.runner_names()}
         change = await theatre.change(1, {"configuration": creed})
-        assert change.status == 200 and change.answeredMs - change.sentMs < 2_000
+        assert change.status == 200 and change.answered_ms - change.sent_ms < 2_000
         small = await theatre.change(2, mark_edit("mark-small"))
-        assert small.status == 200 and small.answeredMs - small.sentMs < 2_000
+        assert small.status == 200 and small.answered_ms - small.sent_ms < 2_000
         assert {theatre.actors[f"transit{at}"].node.generation() for at in range(1, 5)} == {3}
         await theatre.call(1_000, 1.0)
         assert all(call.outcome == "complete" for call in theatre.history.calls)
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -16,11 +16,11 @@
             theatre.freeze(f"{name}-i1")
         value = {"leaving": ["village-r1"], "arriving": theatre.deployment.spare, "bindings": ["rulings"]}
         await theatre.insist({"edits": [{"kind": "plans", "name": "move", "value": value}]})
-        beganMs, node = theatre.nowMs(), theatre.actors["transit1"].node
+        began_ms, node = theatre.now_ms(), theatre.actors["transit1"].node
         while (node.plan_state("move") or {}).get("phase") not in ("draining", "done"):
             await theatre.outside.sleep(50)
-            assert theatre.nowMs() - beganMs < 30_000
-        took.append(theatre.nowMs() - beganMs)
+            assert theatre.now_ms() - began_ms < 30_000
+        took.append(theatre.now_ms() - began_ms)
 
     staged(scene)
     assert took[0] < 11_500  # the waiting step and eight shares, each within 1.25 s
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -91,7 +91,7 @@
 
 
 def without_budget(patch):
-    patch.setattr(finchswitch.transit.tries.Tries, "take", lambda self, share, nowMs: True)
+    patch.setattr(finchswitch.transit.tries.Tries, "take", lambda self, share, now_ms: True)
 
 
 def with_false_not_run(patch):
@@ -174,20 +174,20 @@
 def with_a_clock_that_stops(patch):
     """Machines whose clock does not count the time that they were frozen."""
     machine = finchswitch.rehearsal.machine.Machine
-    freeze, thaw, nowMs, lost, since = machine.freeze, machine.thaw, machine.nowMs, {}, {}
+    freeze, thaw, now_ms, lost, since = machine.freeze, machine.thaw, machine.now_ms, {}, {}
 
     def frozen(self):
-        since.setdefault(self.name, nowMs(self))
+        since.setdefault(self.name, now_ms(self))
         freeze(self)
 
     def thawed(self):
         if self.name in since:
-            lost[self.name] = lost.get(self.name, 0.0) + nowMs(self) - since.pop(self.name)
+            lost[self.name] = lost.get(self.name, 0.0) + now_ms(self) - since.pop(self.name)
         thaw(self)
 
     patch.setattr(machine, "freeze", frozen)
     patch.setattr(machine, "thaw", thawed)
-    patch.setattr(machine, "nowMs", lambda self: since.get(self.name, nowMs(self)) - lost.get(self.name, 0.0))
+    patch.setattr(machine, "now_ms", lambda self: since.get(self.name, now_ms(self)) - lost.get(self.name, 0.0))
 
 
 def without_format_check(patch):
--- a/tests/test_last_check.py
+++ b/tests/test_last_check.py
@@ -12,18 +12,18 @@
     """A call whose runner is slow to prove itself, and a change that is in effect before it has."""
     await open_up(theatre)
     for runner in theatre.runners.values():
-        runner.proofMs = 700.0
+        runner.proof_ms = 700.0
     traffic = theatre.deployment.traffic[0]
-    call = Call("late", traffic.service, False, "transit1", theatre.outside.nowMs())
+    call = Call("late", traffic.service, False, "transit1", theatre.outside.now_ms())
     async with httpx.AsyncClient(transport=theatre.outside.http_transport()) as client:
         async with anyio.create_task_group() as group:
             body = traffic.body(theatre.chance, 1, 0)
             group.start_soon(call_once, theatre.outside, client, "10.0.1.1:8000", traffic, body, call)
             await theatre.outside.sleep(50)
             change = await theatre.change(1, edits)
-            assert change.status == 200 and change.answeredMs - change.sentMs < 600
+            assert change.status == 200 and change.answered_ms - change.sent_ms < 600
             for runner in theatre.runners.values():
-                runner.proofMs = 0.0
+                runner.proof_ms = 0.0
     return call
 
 
@@ -48,8 +48,8 @@
         await theatre.insist({"edits": [{"kind": "plans", "name": "move", "value": value}]})
         node, traffic = theatre.actors["transit1"].node, theatre.deployment.traffic[0]
         for runner in theatre.runners.values():
-            runner.proofMs = 400.0
-        call = Call("late", traffic.service, False, "transit1", theatre.outside.nowMs())
+            runner.proof_ms = 400.0
+        call = Call("late", traffic.service, False, "transit1", theatre.outside.now_ms())
         async with httpx.AsyncClient(transport=theatre.outside.http_transport()) as client:
             async with anyio.create_task_group() as group:
                 body = traffic.body(theatre.chance, 1, 0)
@@ -67,14 +67,14 @@
     async def scene(theatre):
         await open_up(theatre)
         traffic = theatre.deployment.traffic[1]
-        call = Call("long", traffic.service, False, "transit1", theatre.outside.nowMs())
+        call = Call("long", traffic.service, False, "transit1", theatre.outside.now_ms())
         async with httpx.AsyncClient(transport=theatre.outside.http_transport()) as client:
             async with anyio.create_task_group() as group:
                 body = traffic.body(theatre.chance, 1, 0)
                 group.start_soon(call_once, theatre.outside, client, "10.0.1.1:8000", traffic, body, call)
                 await theatre.outside.sleep(100)  # it is being prefilled
                 assert (await theatre.change(1, mark_edit("mark-a"))).status == 200
-                assert call.firstMs < 0
+                assert call.first_ms < 0
         calls.append(call)
 
     staged(scene)
--- a/tests/test_long_answers.py
+++ b/tests/test_long_answers.py
@@ -29,8 +29,8 @@
     await theatre.insist({"configuration": creed})
     assert await theatre.settle()
     for runner in theatre.runners.values():
-        runner.traits.pieceMs = 1_000.0
-    call = Call("long", "rulings", False, "transit1", theatre.outside.nowMs())
+        runner.traits.piece_ms = 1_000.0
+    call = Call("long", "rulings", False, "transit1", theatre.outside.now_ms())
     theatre.history.calls.append(call)
     return call, {**json.loads(asking(pieces).partition(b"\r\n\r\n")[2])}
 
@@ -75,9 +75,9 @@
         half = await theatre.outside.dial("10.0.1.1:8000", 500)
         await half.send(asking(5)[:-3])
         await theatre.outside.sleep(1_000)
-        beganMs = theatre.nowMs()
+        began_ms = theatre.now_ms()
         await theatre.stop_softly("transit1")
-        assert theatre.nowMs() - beganMs < 35_000
+        assert theatre.now_ms() - began_ms < 35_000
 
     staged(scene)
 
@@ -100,7 +100,7 @@
         with socket.socket() as probe:
             probe.bind(("127.0.0.1", 0))
             address = f"127.0.0.1:{probe.getsockname()[1]}"
-        world, stop = RealWorld(stillMs=200), anyio.Event()
+        world, stop = RealWorld(still_ms=200), anyio.Event()
         app = Starlette(routes=[Route("/", endless)])
         async with anyio.create_task_group() as group:
             group.start_soon(world.serve_http, app, address, stop)
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -27,7 +27,7 @@
 def test_replay_at_the_recorded_pace(tmp_path, staged):
     entries = [entry(4.5), entry(1.0), entry(2.0, path="/other"), entry(2.5, method="GET"), entry(1.75)]
     recording = read_recording(har(tmp_path, entries)).unwrap()
-    assert recording.skipped == 2 and [each.atMs for each in recording.requests] == [0, 750, 3500]
+    assert recording.skipped == 2 and [each.at_ms for each in recording.requests] == [0, 750, 3500]
     assert recording.requests[0].headers == {"x-due-ms": "900"}
     outcomes = []
 
@@ -36,9 +36,9 @@
         async with httpx.AsyncClient(transport=theatre.outside.http_transport()) as client:
             outcomes.append(await replay(theatre.outside, client, "10.0.1.1:8000", recording, 1.0))
 
-    runs = sorted(staged(scene).runs, key=lambda run: run.atMs)
+    runs = sorted(staged(scene).runs, key=lambda run: run.at_ms)
     assert outcomes == [{"complete": 3}]
-    assert [run.atMs - runs[0].atMs for run in runs] == pytest.approx([0, 750, 3500], abs=20)
+    assert [run.at_ms - runs[0].at_ms for run in runs] == pytest.approx([0, 750, 3500], abs=20)
 
 
 @pytest.mark.parametrize(
--- a/tests/test_runner_ends.py
+++ b/tests/test_runner_ends.py
@@ -79,7 +79,7 @@
         await open_up(theatre)
         script(theatre, steps, began)
         traffic = theatre.deployment.traffic[0]
-        call = Call("one", traffic.service, repeatable, "transit1", theatre.outside.nowMs())
+        call = Call("one", traffic.service, repeatable, "transit1", theatre.outside.now_ms())
         calls.append(call)
         async with httpx.AsyncClient(transport=theatre.outside.http_transport()) as client:
             body = traffic.body(theatre.chance, 1)
@@ -96,4 +96,4 @@
         assert (call.status, call.outcome, call.done) == (200, "unknown", False)
         assert call.numbers == list(range(1, len(call.numbers) + 1)) and "p1 " in call.pieces
     else:
-        assert (call.status, call.outcome, call.pieces, call.retryAfter) == (502, "unknown", [], True)
+        assert (call.status, call.outcome, call.pieces, call.retry_after) == (502, "unknown", [], True)
--- a/tests/test_shared_state.py
+++ b/tests/test_shared_state.py
@@ -21,19 +21,19 @@
     """A clock that moves only by what the disk takes."""
 
     def __init__(self) -> None:
-        self.chance, self.atMs = Random(1), 0.0
+        self.chance, self.at_ms = Random(1), 0.0
 
-    def nowMs(self) -> float:
-        return self.atMs
+    def now_ms(self) -> float:
+        return self.at_ms
 
 
 class SlowDisk(RealDisk):
     def __init__(self, root: Path, world: StillWorld) -> None:
         super().__init__(root)
-        self.world, self.tookMs = world, 0.0
+        self.world, self.took_ms = world, 0.0
 
     def write_synced(self, folder: str, name: str, data: bytes) -> None:
-        self.world.atMs += self.tookMs
+        self.world.at_ms += self.took_ms
         super().write_synced(folder, name, data)
 
 
@@ -82,7 +82,7 @@
 
 def test_a_slow_sync_is_a_no(disk):
     acceptor = founded(disk)
-    disk.tookMs = 500.0
+    disk.took_ms = 500.0
     with pytest.raises(Mishap) as mishap:
         acceptor.prepare((1, "b"))
     assert mishap.value.kind is MishapKind.FULL
