--- a/src/finchswitch/accord/change.py
+++ b/src/finchswitch/accord/change.py
@@ -19,7 +19,6 @@
     CHANGE_WAIT_MS,
     CREED_PART,
     DELIVERY_LOOK_MS,
-    DELIVERY_WAIT_MS,
     OWNER_WAIT_MS,
 )
 from finchswitch.creed import apply_edits, read_creed
@@ -32,6 +31,9 @@
 _log = prefix("accord")
 
 
+_FIELDS = ("changeId", "base", "baseRevision", "configuration", "edits", "passed", "again")
+
+
 def _answer(status: int, **rest: Any) -> Message:
     return {"status": status, **rest}
 
@@ -74,21 +76,24 @@
     identity = change.get("changeId")
     if not isinstance(identity, str) or not 1 <= len(identity) <= 128:
         wrong.append("changeId: a string of 1 to 128 characters is needed")
-    base = change.get("base")
-    if not isinstance(base, int) or isinstance(base, bool) or base < 0:
-        wrong.append("base: a generation is needed")
+    if ("base" in change) == ("baseRevision" in change):
+        wrong.append("base, baseRevision: exactly one of them is needed")
+    for name, what in (("base", "a generation"), ("baseRevision", "the operator's number of a configuration")):
+        base = change.get(name, 0)
+        if not isinstance(base, int) or isinstance(base, bool) or base < 0:
+            wrong.append(f"{name}: {what} is needed")
     if not isinstance(change.get("again", False), bool):
         wrong.append("again: true or false is needed")
     if ("configuration" in change) == ("edits" in change):
         wrong.append("configuration, edits: exactly one of them is needed")
-    for name in sorted(set(change) - {"changeId", "base", "configuration", "edits", "passed", "again"}):
+    for name in sorted(set(change) - {*_FIELDS}):
         wrong.append(f"{name}: no such field")
     return wrong
 
 
 async def _as_owner(council: Council, change: Message) -> Message:
     register = council.registers[CREED_PART]
-    digest = digest_of([change["base"], change.get("configuration"), change.get("edits")])
+    digest = digest_of([*_base(change), change.get("configuration"), change.get("edits")])
     while register.owns() and register.document is not None:
         document = register.document
         for identity, known, generation in document["recent"]:
@@ -96,14 +101,20 @@
                 if known != digest:
                     return _answer(422, wrong=["changeId: used before for another change"])
                 return await _delivered(council, generation)
-        if change["base"] != document["generation"]:
+        held = document["body"].get("settings", {}).get("revision", 0)
+        if change.get("base", document["generation"]) != document["generation"]:
             return _answer(409, generation=document["generation"], reason="built on another generation")
+        if change.get("baseRevision", held) != held:
+            return _answer(409, generation=document["generation"], revision=held, reason="built on another revision")
         edited = _edited(document, change)
         if isinstance(edited, list):
             return _answer(422, wrong=edited)
         checked = read_creed(edited)
         if isinstance(checked, Failure):
             return _answer(422, wrong=checked.failure())
+        revision = checked.unwrap().settings.revision
+        if revision <= held if "baseRevision" in change else revision < held:
+            return _answer(422, wrong=[f"settings.revision: {revision} is not above {held}"])
         recent = [change["changeId"], digest, document["generation"] + 1]
         try:
             await register.commit(document, succeed(document, edited, recent, document["group"]))
@@ -118,6 +129,10 @@
     return _answer(503, reason="the owner fell before the change was proposed; surely not taken")
 
 
+def _base(change: Message) -> list[int]:
+    return [change["base"]] if "base" in change else [-1, change["baseRevision"]]
+
+
 def _edited(document: Document, change: Message) -> Message | list[str]:
     if "configuration" in change:
         whole = change["configuration"]
@@ -127,7 +142,7 @@
 
 
 async def _delivered(council: Council, generation: int) -> Message:
-    until_ms = council.world.now_ms() + DELIVERY_WAIT_MS
+    until_ms = council.world.now_ms() + council.bounds.delivery_wait_ms
     while True:
         now_ms = council.world.now_ms()
         lacking, known = council.sessions.lacking(CREED_PART, generation, now_ms)
--- a/src/finchswitch/accord/council.py
+++ b/src/finchswitch/accord/council.py
@@ -15,6 +15,7 @@
 from finchswitch.accord.register import Register, majority
 from finchswitch.accord.store import Store
 from finchswitch.accord.voting import Chamber
+from finchswitch.bounds import Bounds
 from finchswitch.constants import ASK_WAIT_MS, BEAT_MS, CONTROL_SILENT_MS
 from finchswitch.kinship.kin import Kin, Kindred
 from finchswitch.kinship.sessions import Sessions
@@ -34,6 +35,8 @@
     def __init__(self, world: World, disk: Disk, startup: Any, group: TaskGroup) -> None:
         self.world, self.startup, self.group = world, startup, group
         self.started_ms = world.now_ms()
+        self.bounds: Bounds = startup.bounds
+        self.group_size = 2 * self.bounds.tolerance + 1  # acceptors a part: a majority is left after the losses
         self.store = Store(world, disk, startup.name)
         self.kindred = Kindred(startup.address, startup.seeds)
         self.sessions = Sessions()
@@ -111,6 +114,7 @@
             "name": self.startup.name,
             "address": self.startup.address,
             "http": self.startup.http,
+            "district": self.startup.district,
             "fleet": self.store.fleet,
             "founders": self.store.founders,
             "sees": sorted({self.store.store, *(each.store for each in self.kindred.alive(now_ms))}),
@@ -134,7 +138,7 @@
 
     async def beat_all(self) -> None:
         while True:
-            self.kindred.forget_silent(self.startup.seeds, self.world.now_ms())
+            self.kindred.forget_silent(self.world.now_ms())
             for address in sorted(self.kindred.addresses):
                 self.group.start_soon(self._beat_one, address)
             await self.tempo.pause(BEAT_MS)
--- a/src/finchswitch/accord/tending.py
+++ b/src/finchswitch/accord/tending.py
@@ -12,13 +12,12 @@
 from finchswitch.accord.store import StoreState
 from finchswitch.constants import (
     BEAT_MS,
-    GROUP,
     PREPARE_WAIT_MS,
-    REPLACE_AFTER_MS,
     SESSION_SILENT_MS,
     STAND_PAUSE_MS,
     STAND_TURN_MS,
 )
+from finchswitch.kinship.kin import Kin
 from finchswitch.logs import prefix
 from finchswitch.mishap import Mishap
 
@@ -60,12 +59,28 @@
             if kin.fleet:
                 return store.join(kin.fleet, kin.founders)
         together = sorted({store.store, *(kin.store for kin in alive)})
-        if len(together) == GROUP and all(sorted(kin.sees) == together for kin in alive):
+        if not council.bounds.founds:
+            return
+        if len(together) == council.group_size and all(sorted(kin.sees) == together for kin in alive):
             store.found(together)
+        elif len(together) > council.group_size and council.startup.address == council.startup.seeds[0]:
+            store.found(_spread(council, alive))  # too many to agree by sight alone: the first seed decides
     except Mishap as mishap:
         _log.error("Cannot found or join. {}", mishap)
 
 
+def _spread(council: "Council", alive: list[Kin]) -> list[str]:
+    """The founding group: this store, then one of each district in turn, seeds first."""
+    seeds, chosen, used = council.startup.seeds, [council.store.store], {council.startup.district: 1}
+    rest = sorted(alive, key=lambda kin: (kin.address not in seeds, kin.address))
+    while len(chosen) < council.group_size:
+        following = min(rest, key=lambda kin: used.get(kin.district, 0))
+        rest.remove(following)
+        chosen.append(following.store)
+        used[following.district] = used.get(following.district, 0) + 1
+    return chosen
+
+
 async def tend_part(council: "Council", part: str) -> None:
     """One part's care, as a loop of its own."""
     register, world, owned_ms = council.registers[part], council.world, council.world.now_ms()
@@ -100,22 +115,29 @@
     return 2 * len(here) > len(document["group"]) and now_ms >= turn_ms
 
 
+def _gone(council: "Council", store: str, spares: list[str], now_ms: float) -> bool:
+    """Whether a member's place may be given away: silent for long, or its machine is back with another store."""
+    after_ms = council.bounds.replace_after_ms
+    silent_ms = min(council.kindred.silent_ms(store, now_ms), now_ms - council.started_ms)
+    return silent_ms > after_ms or store.rpartition("-")[0] in spares
+
+
 async def _swap_silent(council: "Council", part: str, now_ms: float) -> None:
     register = council.registers[part]
     document = register.document
-    if document is None or now_ms - council.started_ms < REPLACE_AFTER_MS:
+    if document is None:
         return
     if document["former"] != document["group"]:  # a swap is over only when the former group is asked no more
         await register.commit(document, succeed(document, document["body"], None, document["group"]))
         council.announce(part)
         return
     group, own = document["group"], council.store.store
-    silent = [s for s in group if s != own and council.kindred.silent_ms(s, now_ms) > REPLACE_AFTER_MS]
-    spares = [kin.store for kin in council.kindred.alive(now_ms) if kin.store not in group and kin.fleet]
+    spares = [kin for kin in council.kindred.alive(now_ms) if kin.store not in group and kin.fleet]
+    silent = [s for s in group if s != own and _gone(council, s, [kin.name for kin in spares], now_ms)]
     if not silent or not spares:
         return
     body = {"part": part, "ballot": register.ballot, "document": document}
-    spare = council.world.chance.choice(sorted(spares))
+    spare = council.world.chance.choice(sorted(kin.store for kin in spares))
     try:
         await council.chamber.vote(spare, "vote.learn", body, PREPARE_WAIT_MS)
     except Mishap as mishap:
--- a/src/finchswitch/affinity/beliefs.py
+++ b/src/finchswitch/affinity/beliefs.py
@@ -17,6 +17,7 @@
     def __init__(self, kept_ms: float = BELIEF_MS) -> None:
         self._kept_ms = kept_ms
         self._kept: dict[str, OrderedDict[str, float]] = {}
+        self._tokens: dict[str, dict[str, int]] = {}
         self._weights: dict[str, str] = {}
         self._coming: dict[tuple[str, str], int] = {}
         self._large: dict[str, OrderedDict[str, None]] = {}
@@ -39,19 +40,22 @@
         if left:
             self._coming[incarnation, digest] = left
 
-    def sent(self, incarnation: str, digest: str, now_ms: float) -> None:
-        """A runner began to answer a prompt with this opening."""
-        kept = self._kept.setdefault(incarnation, OrderedDict())
+    def sent(self, incarnation: str, digest: str, now_ms: float, tokens: int = 0, most_tokens: int = 0) -> None:
+        """A runner of so much memory (0: nobody knows) began to answer a prompt with this opening."""
+        kept, sizes = self._kept.setdefault(incarnation, OrderedDict()), self._tokens.setdefault(incarnation, {})
         kept[digest] = now_ms
         kept.move_to_end(digest)
-        if len(kept) > BELIEFS_MOST:
-            kept.popitem(last=False)
+        sizes[digest] = tokens
+        held = sum(sizes.values()) if most_tokens else 0
+        while len(kept) > BELIEFS_MOST or (held > most_tokens and len(kept) > 1):
+            held -= sizes.pop(kept.popitem(last=False)[0], 0)
 
     def answered(self, incarnation: str, weights: str) -> None:
         """An answer showed the runner's weight version; another one than before clears what was believed."""
         before = self._weights.get(incarnation)
         if before is not None and before != weights:
             self._kept.pop(incarnation, None)
+            self._tokens.pop(incarnation, None)
             self._large.pop(incarnation, None)
         self._weights[incarnation] = weights
 
@@ -70,6 +74,7 @@
 
     def forget(self, incarnation: str) -> None:
         self._kept.pop(incarnation, None)
+        self._tokens.pop(incarnation, None)
         self._large.pop(incarnation, None)
         self._weights.pop(incarnation, None)
 
--- a/src/finchswitch/affinity/burden.py
+++ b/src/finchswitch/affinity/burden.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from finchswitch.affinity.pace import Paces, ratio_of
+from finchswitch.affinity.speed import Speeds
 from finchswitch.constants import HEAD_SAME_MS, REPORT_TRUST_SHARE, SEAT_MS, SMOOTH_SHARE, VITALS_OLD_MS
 
 __all__ = ["Burdens"]
@@ -18,7 +19,7 @@
 
 class Burdens:
     def __init__(self) -> None:
-        self.paces = Paces()
+        self.paces, self.speeds = Paces(), Speeds()
         self._seats: dict[str, int] = {}
         self._waiting: dict[str, dict[object, Pending]] = {}
         self._peer_seats: dict[str, float] = {}
@@ -36,13 +37,15 @@
         self._heads.setdefault(incarnation, now_ms)
         self._ms_a_token[incarnation] = ms_a_token
 
-    def begun(self, seat: object, incarnation: str, now_ms: float) -> None:
-        """The first token came, or never will."""
+    def begun(self, seat: object, incarnation: str, now_ms: float, service: str = "") -> None:
+        """The first token came (of this service, where its speed is learned), or never will."""
         mine, pending = self._waiting[incarnation].pop(seat, None), self._pending(incarnation)
         if mine is None:
             return
         if not pending or mine < pending[0]:
             self.paces.saw(incarnation, self._ratio(incarnation, mine, now_ms), now_ms)
+            if service and not pending and self._turned_ms.get(incarnation, -1e18) <= mine[0]:
+                self.speeds.saw(service, mine[1], now_ms - mine[0])
         self._look_at_head(incarnation, now_ms)
 
     def free(self, incarnation: str, service: str, took_ms: float) -> None:
--- a/src/finchswitch/affinity/draw.py
+++ b/src/finchswitch/affinity/draw.py
@@ -34,7 +34,9 @@
     runner: str
     incarnation: str
     slots: int
-    prefill_tokens_per_s: int
+    prefill_tokens_per_s: int  # 0 where it is learned
+    service: str = ""  # by which it is learned
+    memory_tokens: int = 0  # 0 where nobody knows
 
 
 @dataclass(frozen=True)
@@ -44,6 +46,7 @@
     way: Way
     prefill_tokens: int
     first_ms: float
+    ms_a_token: float
 
 
 @dataclass(frozen=True)
@@ -70,9 +73,18 @@
         tokens = opening.own_tokens + (opening.opening_tokens if cold else 0)
         waiting = max(0.0, seats + 1 - runner.slots)
         wait_ms = waiting * self._burdens.seat_ms(runner.incarnation) / runner.slots
-        ms_a_token, pace = 1000 / runner.prefill_tokens_per_s, self._burdens.pace(runner.incarnation, now_ms)
+        ms_a_token, first_ms, speeds = 1000 / (runner.prefill_tokens_per_s or 1), 0.0, self._burdens.speeds
+        if not runner.prefill_tokens_per_s:
+            ms_a_token, first_ms = 1 / speeds.tokens_a_ms(runner.service), speeds.first_ms(runner.service)
+        pace = self._burdens.pace(runner.incarnation, now_ms)
         backlog_ms = self._burdens.backlog_ms(runner.incarnation, ms_a_token * pace, now_ms)
-        return Drawn(runner, opening, way, tokens, (wait_ms + tokens * ms_a_token) * pace + backlog_ms)
+        estimated_ms = first_ms + (wait_ms + tokens * ms_a_token) * pace + backlog_ms
+        return Drawn(runner, opening, way, tokens, estimated_ms, ms_a_token)
+
+    def earliest(self, opening: Opening, choices: Choices, now_ms: float) -> Drawn:
+        """The runner whose first token is expected first."""
+        others = [self.estimate(opening, each, Way.TIMELY, now_ms) for each in choices.runners]
+        return min(others, key=lambda each: each.first_ms)
 
     def draw(self, opening: Opening, choices: Choices, due_ms: float, now_ms: float) -> Drawn | None:
         """A runner for the prompt, or None when none can be timely."""
@@ -81,8 +93,7 @@
         first = self._first(opening, choices, now_ms)
         if first.first_ms <= due_ms:
             return first
-        others = [self.estimate(opening, each, Way.TIMELY, now_ms) for each in choices.runners]
-        timely = min(others, key=lambda each: each.first_ms)
+        timely = self.earliest(opening, choices, now_ms)
         return timely if timely.first_ms <= due_ms else None
 
     def _first(self, opening: Opening, choices: Choices, now_ms: float) -> Drawn:
--- a/src/finchswitch/affinity/opening.py
+++ b/src/finchswitch/affinity/opening.py
@@ -19,6 +19,7 @@
     digest: str
     opening_tokens: int
     own_tokens: int
+    answer_tokens: int = 0  # the most that its answer may have; 0 where nobody says
 
 
 def opening_of(service: str, messages: list[dict[str, Any]]) -> Opening:
--- a/src/finchswitch/constants.py
+++ b/src/finchswitch/constants.py
@@ -32,7 +32,6 @@
 
 # Accord
 PARTS: Final = 4  # parts for services; few services today, a handful keeps owners spread over three cores
-GROUP: Final = 3  # acceptors a part: survives the loss of one core machine, as the brief asks
 CREED_PART: Final = "creed"  # the part that holds the configuration
 PREPARE_WAIT_MS: Final = 500  # a ballot waits this long for its majority
 ACCEPT_WAIT_MS: Final = 900  # a commit waits this long, then its fate is unknown
@@ -58,13 +57,16 @@
 
 # Runners
 LIST_POLL_MS: Final = 500  # the brief allows about 3 s from the list to no new work
+PAGES_MOST: Final = 1_000  # of the platform's list; more is a loop
 LIST_WAIT_MS: Final = 400  # a poll slower than this is repeated at once
 LIST_UNKNOWN_MS: Final = 2_500  # no list and no peers' word for this long: no seats
+DUTY_MS: Final = 500  # between two looks at which duties fall to a node
 VITALS_POLL_MS: Final = 500  # runners report late anyway; faster reading shows nothing new
 VITALS_OLD_MS: Final = 3_000  # a report older than this no longer counts
 PROOF_WAIT_MS: Final = 1_000  # connecting and proving an identity
 RUNNER_SILENT_MS: Final = 10_000  # between pieces; a runner dark for this long is a mishap
 FORGET_MS: Final = 60_000  # what is unlisted or silent this long is forgotten, so that memory stays bounded
+SUSPECT_MS: Final = 400  # one that answered nothing once is passed over this long, then twice as long each time
 DOWN_MS: Final = 2_000  # a runner that refused or broke connections is passed over this long
 FIRST_WAIT_SHARE: Final = 2.0  # of the due: how long a first token is awaited past the estimate that met it
 PLAN_STEP_MS: Final = 1_000  # between two steps of a plan: an arriving home warms before the next share moves
@@ -82,6 +84,7 @@
 COPY_SHARE: Final = 0.1  # of a large hot opening's draws that may copy it; a copy costs a second of prefill
 TOLD_MOST: Final = 16  # of them a runner; about what its memory holds
 BELIEFS_MOST: Final = 4_096  # beliefs kept a runner
+SLOTS: Final = 50  # requests that a runner works on at the same time, until the configuration says otherwise
 SPILL_BURDEN_SHARE: Final = 0.9  # of a home's slots in use, past which its openings spill (ours)
 CHARS_A_TOKEN: Final = 4  # rough length of a token, for prefill estimates
 PREFILL_TOKENS_A_S: Final = 8_000  # default speed of prefill, until the configuration says otherwise
@@ -93,6 +96,12 @@
 PACE_MOST: Final = 20.0  # a pace past this says no more; also bounds what one late answer can do
 PACE_TOLD: Final = 1.2  # a pace under this is not worth telling peers
 PACE_LEAST_MS: Final = 400.0  # shorter ones say little of pace: a peer's prefill may be untold for a beat or two
+SPEED_FADE: Final = 0.05  # weight of a slower observation in a learned speed; a faster one counts whole
+SPEED_FIRST_MS: Final = 50.0  # to a first token beside reading, until a short prompt showed it
+SPEED_SHORT_TOKENS: Final = 600  # prompts up to this tell what a first token takes
+SPEED_LONG_TOKENS: Final = 2_000  # prompts from this on tell how fast a runner reads
+SPEED_TOKENS_A_MS: Final = 40.0  # of a present accelerator, until a long prompt showed it
+LEARNED_TOKENS_A_S: Final = 0  # stands for a runner whose speed is learned
 SMOOTH_SHARE: Final = 0.1  # weight of the newest observation in a running mean
 REPORT_TRUST_SHARE: Final = 0.5  # weight of a late report's excess over what the nodes themselves know
 
@@ -106,6 +115,7 @@
 TRIES_SHARE: Final = 0.15  # under the brief's fifth, with room for callers that count differently
 TRIES_FLOOR: Final = 3  # a node: a few dozen over the fleet
 BODY_MOST_BYTES: Final = 1024 * 1024  # thirteen thousand tokens are about 60 kB
+HEAD_MOST_BYTES: Final = 16 * 1024  # of a request's head; cookies and long paths fit
 REQUEST_ID_MOST: Final = 128  # characters of a caller's request id
 SENT_KEEP_MS: Final = 600_000  # how long a request id sent to a runner is remembered; callers' retries come far sooner
 SENT_MOST: Final = 100_000  # of them a node; ten minutes at ten times a node's share of today's traffic
@@ -124,6 +134,9 @@
 HOT_SHARE_LEAST: Final = 0.01  # of one home; what needs less is not popular
 HOT_SHARE_MOST: Final = 1.0  # of one home; past it an opening has outgrown its home for certain
 SLOTS_MOST: Final = 10_000  # of a runner; more is a mistake
+TIMEOUT_MOST_MS: Final = 3_600_000  # of a route; the longest answer that may be allowed
+ROUTE_RUNNERS_MOST: Final = 100  # that one request may be sent to; more is a mistake
+WEIGHT_MOST: Final = 1_000_000  # of a route's target; more is a mistake
 PREFILL_MOST_TOKENS_A_S: Final = 10_000_000  # of a runner; more is a mistake
 
 # The brief's limits, for the checkers; on purpose none of the code under test uses them
--- a/src/finchswitch/creed/__init__.py
+++ b/src/finchswitch/creed/__init__.py
@@ -1,13 +1,15 @@
 """The creed: the configuration that operators send, read and checked whole before anything is taken."""
 
-from finchswitch.creed.check import check_creed, read_creed
+from finchswitch.creed.check import check_creed, read_creed, written
 from finchswitch.creed.edits import apply_edits, edits_between
-from finchswitch.creed.model import Binding, Creed, Plan, Runner, Service, Settings
+from finchswitch.creed.model import Binding, Creed, Plan, Repeat, Route, Runner, Service, Settings
 
 __all__ = [
     "Binding",
     "Creed",
     "Plan",
+    "Repeat",
+    "Route",
     "Runner",
     "Service",
     "Settings",
@@ -15,4 +17,5 @@
     "check_creed",
     "edits_between",
     "read_creed",
+    "written",
 ]
--- a/src/finchswitch/creed/check.py
+++ b/src/finchswitch/creed/check.py
@@ -25,24 +25,30 @@
     SPILL_SHARE_LEAST,
     TRIES_SHARE_MOST,
 )
-from finchswitch.creed.model import Binding, Creed, Plan, PlanStep, Runner, Service, Settings
+from finchswitch.creed.model import Binding, Creed, Plan, PlanStep, Repeat, Route, Runner, Service, Settings
+from finchswitch.creed.routes import check_routes
 
-__all__ = ["check_creed", "read_creed"]
+__all__ = ["check_creed", "read_creed", "written"]
 
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._/-]{0,99}\Z")
-_KINDS: dict[str, type] = {"services": Service, "runners": Runner, "bindings": Binding, "plans": Plan}
+_KINDS: dict[str, type] = {"services": Service, "runners": Runner, "bindings": Binding, "routes": Route}
+_KINDS["plans"] = Plan
 
 _KINDS_OF_VALUE: dict[Any, str] = {
     int: "a whole number",
     float: "a number",
     str: "a string",
     list[str]: "a list of strings",
+    bool: "true or false",
+    list[Any]: "a list",
+    dict[str, int]: "whole numbers by name",
+    Repeat: "never, resume or always",
     PlanStep: "running, paused or abandoned",
 }
 
 
-def read_creed(raw: Any) -> Result[Creed, list[str]]:
-    """Read and check plain JSON.
+def read_creed(raw: Any, before: tuple[Any, Creed] | None = None) -> Result[Creed, list[str]]:
+    """Read and check plain JSON; entries that are the very objects of a configuration read before are not read again.
 
     >>> read_creed({"services": {"m": {"dueMs": 0}}}).failure()
     ['services.m.dueMs: 0 is not within 50 and 120000']
@@ -54,13 +60,17 @@
     if not isinstance(raw, dict):
         return Failure(["configuration: not an object"])
     wrong = [f"{kind}: no such kind of entry" for kind in raw if kind not in _KINDS and kind != "settings"]
-    creed = Creed()
+    creed, old = Creed(), before[0] if before else {}
     for kind, shape in _KINDS.items():
         entries = raw.get(kind, {})
         if not isinstance(entries, dict):
             wrong.append(f"{kind}: not an object")
             continue
+        earlier = old.get(kind, {})
         for name, value in entries.items():
+            if before and earlier.get(name) is value:
+                getattr(creed, kind)[name] = getattr(before[1], kind)[name]
+                continue
             if not _NAME.match(name):
                 wrong.append(f"{kind}.{name[:100]}: not a name")
             read = _read(shape, value, f"{kind}.{name}")
@@ -113,8 +123,12 @@
 def _fits(value: Any, kind: Any) -> bool:
     if kind == list[str]:
         return isinstance(value, list) and all(type(each) is str for each in value)
-    if kind is PlanStep:
-        return value in [step.value for step in PlanStep]
+    if kind == list[Any]:
+        return isinstance(value, list)
+    if kind == dict[str, int]:
+        return isinstance(value, dict) and all(type(each) is int for each in value.values())
+    if kind is PlanStep or kind is Repeat:
+        return value in [each.value for each in kind]
     return type(value) is kind
 
 
@@ -126,6 +140,7 @@
     _range(wrong, "settings.answerMostMs", creed.settings.answer_most_ms, ANSWER_LEAST_MS, ANSWER_LONGEST_MS)
     for name, service in creed.services.items():
         _range(wrong, f"services.{name}.dueMs", service.due_ms, DUE_LEAST_MS, DUE_MOST_MS)
+        _range(wrong, f"services.{name}.slots", service.slots, 1, SLOTS_MOST)
         _range(wrong, f"services.{name}.hotMost", service.hot_most, 0, HOT_SET_MOST)
         _range(wrong, f"services.{name}.hotEnterShare", service.hot_enter_share, HOT_SHARE_LEAST, HOT_SHARE_MOST)
         _range(wrong, f"services.{name}.hotLeaveShare", service.hot_leave_share, 0, service.hot_enter_share)
@@ -143,6 +158,7 @@
         _runners(wrong, f"{where}.runners", binding.runners, creed)
         if not binding.runners:
             wrong.append(f"{where}.runners: empty")
+    wrong.extend(check_routes(creed))
     _check_plans(wrong, creed)
     return wrong
 
--- a/src/finchswitch/creed/edits.py
+++ b/src/finchswitch/creed/edits.py
@@ -1,10 +1,10 @@
 """Named edits: replace or remove single entries of a configuration, all of them or none.
 
-An edit is ``{"kind": "bindings", "name": "counter", "value": {...}}``; a null value removes the entry. The same
-form carries changes down the relay tree: ``edits_between`` says what turns one body into another.
+An edit is ``{"kind": "bindings", "name": "counter", "value": {...}}``; a null value removes the entry, which must be
+there unless the edit says ``"gone": true``. The same form carries changes down the relay tree: ``edits_between`` says
+what turns one body into another.
 """
 
-from copy import deepcopy
 from typing import Any
 
 from returns.result import Failure, Result, Success
@@ -15,7 +15,7 @@
 
 
 def apply_edits(body: Body, edits: Any) -> Result[Body, list[str]]:
-    """A new body with all edits, or what is wrong with them.
+    """A new body with all edits, or what is wrong with them. Entries that are not edited are the very same objects.
 
     >>> apply_edits({"runners": {"a": {}}}, [{"kind": "runners", "name": "a", "value": None}]).unwrap()
     {'runners': {}}
@@ -25,9 +25,9 @@
     if not isinstance(edits, list) or not edits:
         return Failure(["edits: not a list with entries"])
     wrong: list[str] = []
-    result, seen = deepcopy(body), set()
+    result, seen = {kind: dict(entries) for kind, entries in body.items()}, set()
     for at, edit in enumerate(edits):
-        if not isinstance(edit, dict) or set(edit) != {"kind", "name", "value"}:
+        if not isinstance(edit, dict) or set(edit) - {"gone"} != {"kind", "name", "value"}:
             wrong.append(f"edits.{at}: needs kind, name and value, and nothing else")
             continue
         kind, name, value = edit["kind"], edit["name"], edit["value"]
@@ -42,7 +42,7 @@
             entries[name] = value
         elif name in entries:
             del entries[name]
-        else:
+        elif edit.get("gone") is not True:
             wrong.append(f"edits.{at}: {kind}.{name} does not exist")
     return Failure(wrong) if wrong else Success(result)
 
@@ -51,12 +51,12 @@
     """The edits that turn old into new.
 
     >>> edits_between({"a": {"x": 1, "y": 2}}, {"a": {"x": 3}})
-    [{'kind': 'a', 'name': 'x', 'value': 3}, {'kind': 'a', 'name': 'y', 'value': None}]
+    [{'kind': 'a', 'name': 'y', 'value': None}, {'kind': 'a', 'name': 'x', 'value': 3}]
     """
     edits = []
     for kind in sorted(set(old) | set(new)):
         before, after = old.get(kind, {}), new.get(kind, {})
-        for name in sorted(set(before) | set(after)):
+        for name in [*(each for each in before if each not in after), *after]:
             if before.get(name) != after.get(name):
                 edits.append({"kind": kind, "name": name, "value": after.get(name)})
     return edits
--- a/src/finchswitch/kinship/kin.py
+++ b/src/finchswitch/kinship/kin.py
@@ -31,6 +31,7 @@
     promised: dict[str, Ballot]
     generations: dict[str, int]
     sessions: list[Message]
+    district: str = ""
     heard_ms: float = 0.0
     asked_ms: float = field(default=-1e18)
 
@@ -49,6 +50,7 @@
             promised={part: read_ballot(ballot) for part, ballot in promised.items()},
             generations=read(body, "generations", dict, peer),
             sessions=read(body, "sessions", list, peer),
+            district=str(body.get("district", "")),
         )
 
 
@@ -56,12 +58,17 @@
     """The control nodes known, by store and by address."""
 
     def __init__(self, own_address: str, seeds: list[str]) -> None:
-        self._own = own_address
+        self._own, self.seeds = own_address, list(seeds)
         self.addresses = {each for each in seeds if each != own_address}
         self.by_store: dict[str, Kin] = {}
         self.met: set[str] = set()  # addresses that said what they are
         self.routing: set[str] = set()  # seeds that turned out to be routing nodes
 
+    def new_seeds(self, seeds: list[str]) -> None:
+        """Other processes to ask for control nodes."""
+        self.seeds = list(seeds)
+        self.addresses |= {each for each in seeds if each != self._own}
+
     def heard(self, kin: Kin, now_ms: float, asked_ms: float | None) -> None:
         """Take in a beat (no askedMs) or the answer to one."""
         before = self.by_store.get(kin.store)
@@ -73,11 +80,11 @@
         if kin.address != self._own:
             self.addresses.add(kin.address)
 
-    def forget_silent(self, seeds: list[str], now_ms: float) -> None:
+    def forget_silent(self, now_ms: float) -> None:
         """Control nodes silent for long; the seeds are asked forever."""
         for kin in [each for each in self.by_store.values() if now_ms - each.heard_ms > FORGET_MS]:
             del self.by_store[kin.store]
-            if kin.address not in seeds:
+            if kin.address not in self.seeds:
                 self.addresses.discard(kin.address)
 
     def alive(self, now_ms: float) -> list[Kin]:
--- a/src/finchswitch/kinship/member.py
+++ b/src/finchswitch/kinship/member.py
@@ -6,9 +6,6 @@
 """
 
 from enum import Enum
-from typing import Protocol
-
-from anyio.abc import TaskGroup
 
 from finchswitch.charts import Walker, load_chart
 from finchswitch.constants import (
@@ -21,13 +18,13 @@
     PEER_SILENT_MS,
 )
 from finchswitch.kinship.tempo import Tempo
-from finchswitch.kinship.word import check_beat
+from finchswitch.kinship.word import Word, check_beat
 from finchswitch.logs import prefix
 from finchswitch.mishap import Mishap
 from finchswitch.relay import NewsBook
 from finchswitch.wire import Book, Message, World, field, reading
 
-__all__ = ["Member", "NodeState", "Word"]
+__all__ = ["Member", "NodeState"]
 
 _log = prefix("kinship")
 
@@ -49,22 +46,15 @@
 _NEVER = -1e18
 
 
-class Word(Protocol):
-    """What a node adds to its beats to peers: burden, leaving runners, duties."""
-
-    group: TaskGroup
-
-    def speak(self) -> Message: ...
-
-    def hear(self, beat: Message) -> None: ...
-
-
 class Member:
-    def __init__(self, world: World, book: Book, news: NewsBook, card: Message, seeds: list[str]) -> None:
+    def __init__(
+        self, world: World, book: Book, news: NewsBook, card: Message, seeds: list[str], alone: bool = False
+    ) -> None:
         self._world, self._book, self._news = world, book, news
         self.card = card  # name, address, http, district, incarnation
         self._walker = Walker(_CHART, card["name"])
         self._seeds = list(seeds)
+        self._alone = alone  # once confirmed, serve on while cut off: what is held may be older than the others'
         self._routing: set[str] = set()  # seeds that turned out to be routing nodes
         self.controls = list(seeds)
         self.control = ""
@@ -111,6 +101,8 @@
 
     def may_send(self) -> bool:
         """Whether a seat granted before may still be used: the node has not slept meanwhile, nor been cut off."""
+        if self._alone and self._walker.state is not NodeState.JOINING:
+            return True
         return self._controlled() or self._confirmed()
 
     def may_grant(self) -> bool:
@@ -122,11 +114,16 @@
         if held >= 1 and confirmed and self._walker.state is not NodeState.SERVING:
             self._walker.take(NodeEvent.CONFIRMED)
             _log.info("Serving generation {}{}.", held, "" if controlled else ", by the word of peers")
-        elif not confirmed and not controlled and self._walker.state is NodeState.SERVING:
+        elif not confirmed and not controlled and not self._alone and self._walker.state is NodeState.SERVING:
             self._walker.take(NodeEvent.CUT)
             _log.warning("Cut off; no seats until control or half of the peers are heard.")
         return self._walker.state is NodeState.SERVING
 
+    def new_seeds(self, seeds: list[str]) -> None:
+        """Other processes to ask when no control node is known any more."""
+        self._seeds = list(seeds)
+        self.controls = sorted({*self.controls, *seeds})
+
     def stop(self) -> None:
         self._walker.take(NodeEvent.STOP)
 
@@ -213,7 +210,7 @@
         try:
             answer = await self._book.ask(address, "peer.beat", word, PEER_SILENT_MS)
             self.hear_peer(answer, asked_ms)
-            own_word.hear(answer)
+            own_word.hear(answer, asked_ms)
         except Mishap as mishap:
             _log.debug("A peer is silent or speaks badly. {}", mishap)
 
--- a/src/finchswitch/kinship/word.py
+++ b/src/finchswitch/kinship/word.py
@@ -1,11 +1,24 @@
-"""The shape of a beat between routing nodes, checked whole before any of it is believed."""
+"""What routing nodes add to their beats, and the shape of a beat, checked whole before any of it is believed."""
 
-from typing import Any
+from typing import Any, Protocol
+
+from anyio.abc import TaskGroup
 
 from finchswitch.mishap import Mishap, MishapKind
 from finchswitch.wire import Message
 
-__all__ = ["check_beat"]
+__all__ = ["Word", "check_beat"]
+
+
+class Word(Protocol):
+    """What a node adds to its beats to peers: burden, leaving runners, duties."""
+
+    group: TaskGroup
+
+    def speak(self) -> Message: ...
+
+    def hear(self, beat: Message, since_ms: float) -> None: ...
+
 
 _NUMBER = (int, float)
 # The shape of each field: a type, a list of one shape, a tuple of shapes, or a dict from strings to one shape.
@@ -24,6 +37,8 @@
     "counts": {"": (_NUMBER, {"": _NUMBER})},
     "vitals": {"": (int, str, _NUMBER, _NUMBER)},
 }
+# What older processes do not say.
+_OPTIONAL: dict[str, Any] = {"listMark": str, "list": [list], "dark": [str], "base": {"": (_NUMBER, _NUMBER)}}
 
 
 def check_beat(beat: Message, peer: str = "peer") -> None:
@@ -36,6 +51,9 @@
     for name, shape in _SHAPE.items():
         if not _fits(beat.get(name), shape):
             raise Mishap(MishapKind.BROKEN, "shape", peer, f"field {name} missing or of the wrong type")
+    for name, shape in _OPTIONAL.items():
+        if name in beat and not _fits(beat[name], shape):
+            raise Mishap(MishapKind.BROKEN, "shape", peer, f"field {name} of the wrong type")
 
 
 def _fits(value: Any, shape: Any) -> bool:
--- a/src/finchswitch/mishap.py
+++ b/src/finchswitch/mishap.py
@@ -4,9 +4,10 @@
 arose and the peer that was involved, so that a log line or an operator's answer can name both.
 """
 
+from collections.abc import Iterator
 from enum import Enum
 
-__all__ = ["Mishap", "MishapKind"]
+__all__ = ["causes_of", "Mishap", "MishapKind"]
 
 
 class MishapKind(Enum):
@@ -42,3 +43,12 @@
     @classmethod
     def refused(cls, step: str, peer: str, reason: str) -> "Mishap":
         return cls(MishapKind.REFUSED, step, peer, reason)
+
+
+def causes_of(ended: BaseException) -> Iterator[BaseException]:
+    """What lies at the ground of an ending, each cause by itself."""
+    if isinstance(ended, BaseExceptionGroup):
+        for each in ended.exceptions:
+            yield from causes_of(each)
+    else:
+        yield ended
--- /dev/null
+++ b/src/finchswitch/platform/calls.py
@@ -0,0 +1,177 @@
+"""Requests and answers as the platform's clients and runners speak them.
+
+The body, method, path and headers of a request go on as they came; each names the one instance that may run it. An
+answer's status, headers and events come back as they are.
+"""
+
+import hashlib
+from collections.abc import AsyncGenerator
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import httpx
+from returns.result import Failure, Result, Success
+from starlette.requests import Request
+
+from finchswitch.affinity import Opening
+from finchswitch.creed import Repeat
+from finchswitch.creed.routes import pick_target
+from finchswitch.platform.events import events_of
+from finchswitch.transit.dialect import Call, Fate, Head, Headers, Piece, Refusal, TryMishap
+from finchswitch.transit.prompt import read_body
+from finchswitch.transit.proof import Ticket
+from finchswitch.transit.roster import Known
+
+if TYPE_CHECKING:
+    from finchswitch.transit.node import Node
+
+__all__ = ["PlatformDialect", "read_parts"]
+
+_HOP = {
+    b"connection",
+    b"keep-alive",
+    b"proxy-authenticate",
+    b"proxy-authorization",
+    b"proxy-connection",
+    b"te",
+    b"trailer",
+    b"transfer-encoding",
+    b"upgrade",
+    b"content-length",
+    b"expect",
+}
+_REWORDED = {b"x-deadline-remaining", b"x-target-instance", b"x-urgency-level"}
+
+
+class _Words(NamedTuple):
+    method: str
+    target: bytes
+    headers: Headers
+
+
+def read_parts(text: str) -> list[tuple[str, int]]:
+    """The parts of a prompt, in order.
+
+    >>> read_parts("5c1e07a2:800,91bd3f06:410"), read_parts("5c:x"), read_parts("")
+    ([('5c1e07a2', 800), ('91bd3f06', 410)], [], [])
+    """
+    parts = []
+    for each in text.split(",") if text else []:
+        name, _, tokens = each.strip().partition(":")
+        if not tokens.isdigit():
+            return []
+        parts.append((name, int(tokens)))
+    return parts
+
+
+def _whole(text: str | None) -> int | None:
+    return int(float(text)) if text and text.replace(".", "", 1).isdigit() else None
+
+
+def _opening(service: str, request_id: str, headers: Any) -> Opening:
+    parts = read_parts(headers.get("x-prompt-prefix", ""))
+    usage = [int(each) for each in headers.get("x-token-usage", "").split(",") if each.strip().isdigit()]
+    shared = parts[:-1]
+    named = ",".join([headers.get("x-model", ""), *(name for name, _ in shared)]) if shared else request_id
+    digest = hashlib.sha256(f"{service}\0{named}".encode()).hexdigest()[:16]
+    shared_tokens = sum(tokens for _, tokens in shared)
+    own_tokens = parts[-1][1] if parts else max(0, (usage or [0])[0])
+    return Opening(service, digest, shared_tokens, own_tokens, usage[1] if len(usage) > 1 else 0)
+
+
+class PlatformDialect:
+    kept = True  # each request names its instance, so connections may be kept
+
+    async def read(self, node: "Node", scope: Any, receive: Any) -> Result[Call, tuple[str, Refusal]]:
+        request = Request(scope, receive)
+        headers, raw_path = request.headers, scope["raw_path"]
+        request_id, creed = headers.get("x-attempt-id", ""), node.creed()
+        read = await read_body(request, creed.settings.body_most_bytes)
+        if isinstance(read, Failure):
+            return Failure((request_id, read.failure()))
+        if not request_id:
+            return Failure(("", Refusal(400, "X-Attempt-Id: missing")))
+        name = node.routes().find(headers.get("host", ""), raw_path.decode("latin-1"))
+        if name is None or name not in creed.routes:
+            if node.generation() < 1:
+                return Failure((request_id, Refusal(503, "no configuration yet", 500.0)))
+            return Failure((request_id, Refusal(404, "no route")))
+        route = creed.routes[name]
+        query = scope["query_string"]
+        words = _Words(scope["method"], raw_path + (b"?" + query if query else b""), list(scope["headers"]))
+        service = pick_target(route.targets, headers.get("x-prompt-prefix", "").rpartition(",")[0] or request_id)
+        deadline_ms = _whole(headers.get("x-deadline-remaining"))
+        call = Call(
+            request_id=request_id,
+            service=service,
+            repeatable=route.repeat is Repeat.ALWAYS,
+            opening=_opening(service, request_id, headers),
+            body=read.unwrap(),
+            due_ms=float(route.first_aim_ms),
+            limit_ms=float(min(route.timeout_ms, deadline_ms if deadline_ms is not None else route.timeout_ms)),
+            gap_ms=float(route.gap_aim_ms),
+            resumable=route.repeat is Repeat.RESUME,
+            most_runners=route.most_runners,
+            rank=route.rank,
+            route=name,
+            words=words,
+        )
+        return Success(call)
+
+    def request(self, call: Call, known: Known, left_ms: float, after: str | None) -> httpx.Request:
+        words: _Words = call.words
+        gone = _HOP | _REWORDED | ({b"last-event-id"} if after is not None else set())
+        headers = [each for each in words.headers if each[0] not in gone]
+        headers += [
+            (b"x-deadline-remaining", str(max(1, int(left_ms))).encode()),
+            (b"x-target-instance", known.incarnation.encode()),
+            (b"x-urgency-level", str(min(9, 3 + 2 * (call.rank or 0))).encode()),
+            (b"content-length", str(len(call.body)).encode()),
+        ]
+        if after is not None:
+            headers.append((b"last-event-id", after.encode()))
+        host, _, port = known.address.rpartition(":")
+        url = httpx.URL(scheme="http", host=host, port=int(port))
+        extensions = {"target": words.target}
+        return httpx.Request(words.method, url, headers=headers, content=call.body, extensions=extensions)
+
+    def check_head(self, response: httpx.Response, known: Known, call: Call) -> Head:
+        headers = response.headers
+        if headers.get("x-attempt-id", call.request_id) != call.request_id:
+            raise TryMishap(Fate.UNKNOWN, "answer", known.runner, "answered another request")
+        if "x-not-executed" in headers or response.status_code == 421:
+            raise TryMishap(Fate.NOT_RUN, "answer", known.runner, f"not run: status {response.status_code}")
+        whole = response.status_code < 300 and "x-server-seal" in headers and "content-encoding" not in headers
+        if response.status_code < 300 and not whole:
+            raise TryMishap(Fate.UNKNOWN, "answer", known.runner, "a success without its seal")
+        if response.status_code >= 500 and (call.repeatable or call.resumable):
+            raise TryMishap(Fate.UNKNOWN, "answer", known.runner, f"status {response.status_code}")
+        kept = [(name, value) for name, value in headers.raw if name.lower() not in _HOP]
+        return Head(headers.get("x-weight-versions", ""), response.status_code, kept, failed=not whole)
+
+    async def pieces(self, response: httpx.Response, known: Known, call: Call) -> AsyncGenerator[Piece, None]:
+        assert isinstance(response.stream, httpx.AsyncByteStream)
+        streamed = response.headers.get("content-type", "").startswith("text/event-stream")
+        async for data, number in events_of(response.stream, streamed and response.status_code < 300):
+            yield Piece(data, number)
+
+    def opened(self, call: Call, head: Head, ticket: Ticket, way: str) -> tuple[int, Headers]:
+        return head.status, head.headers
+
+    def ended(
+        self, request_id: str, status: int, fate: Fate, reason: str, after_s: float
+    ) -> tuple[int, Headers, bytes]:
+        status = 502 if fate is Fate.UNKNOWN else status
+        body = reason.encode()
+        headers = [(b"content-type", b"text/plain"), (b"content-length", str(len(body)).encode())]
+        if request_id:
+            headers.append((b"x-attempt-id", request_id.encode("latin-1", "replace")))
+        if status in (429, 503):
+            headers.append((b"retry-after", f"{max(0.05, after_s):.2f}".encode()))
+        return status, headers, body
+
+    def broken(self, mishap: TryMishap) -> bytes | None:
+        return None
+
+    async def probe(self, known: Known) -> float:
+        response = await known.reader.get(f"http://{known.address}/api/report")
+        return float(response.json()["active"])
--- /dev/null
+++ b/src/finchswitch/platform/configuration.py
@@ -0,0 +1,172 @@
+"""The operator's configuration documents, put into the product's configuration and back.
+
+Each entry keeps the item as it was sent, so that it reads back field for field. A wrong value goes through as it is and
+is named by the product's own checks.
+"""
+
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+__all__ = ["document_of", "edits_of", "named", "whole_of"]
+
+_ROUTE = {
+    "host_name": "host",
+    "path_prefix": "prefix",
+    "timeout_ms": "timeoutMs",
+    "target_latency_ms": "firstAimMs",
+    "target_gap_ms": "gapAimMs",
+    "priority_level": "rank",
+    "max_attempts": "mostRunners",
+}
+_LIMITS = {
+    "max_header_bytes": "headMostBytes",
+    "max_body_bytes": "bodyMostBytes",
+    "header_timeout_ms": "headWaitMs",
+    "idle_timeout_ms": "idleWaitMs",
+}
+_BACK = {
+    "host": "host_name",
+    "prefix": "path_prefix",
+    "timeoutMs": "timeout_ms",
+    "firstAimMs": "target_latency_ms",
+    "gapAimMs": "target_gap_ms",
+    "rank": "priority_level",
+    "mostRunners": "max_attempts",
+    "targets": "weighted_targets",
+}
+
+
+def route_of(item: dict[str, Any]) -> dict[str, Any]:
+    """A route in the product's terms.
+
+    >>> sent = {"name": "r", "host_name": "h", "path_prefix": "/p/", "route_type": "safe", "timeout_ms": 9,
+    ...         "weighted_targets": [{"target_service": "s", "weight": 90}, {"target_service": "s", "weight": 10}]}
+    >>> read = route_of(sent)
+    >>> read["targets"], read["repeat"], read["timeoutMs"]
+    ({'s': 100}, 'always', 9)
+    """
+    route = {ours: item[theirs] for theirs, ours in _ROUTE.items() if theirs in item}
+    targets: dict[str, Any] = {}
+    if "target_service" in item:
+        targets[str(item["target_service"])] = 1
+    for each in item.get("weighted_targets") or []:
+        if isinstance(each, dict) and "target_service" in each:
+            weight, name = each.get("weight", 1), str(each["target_service"])
+            before = targets.get(name, 0)
+            targets[name] = weight + before if type(weight) is int and type(before) is int else weight
+    repeat = "always" if item.get("route_type") == "safe" else "never"
+    repeat = "resume" if item.get("stream_resumption") is True else repeat
+    return {**route, "targets": targets, "repeat": repeat, "origin": [item]}
+
+
+def service_of(item: dict[str, Any]) -> dict[str, Any]:
+    """A service in the product's terms."""
+    service: dict[str, Any] = {"listed": True, "origin": [item]}
+    for theirs, ours in (("health_path", "healthPath"), ("max_connections", "connectionsMost")):
+        if theirs in item:
+            service[ours] = item[theirs]
+    engine = item.get("engine")
+    if isinstance(engine, dict):
+        for theirs, ours in (("capacity_slots", "slots"), ("kv_capacity", "memoryTokens")):
+            if theirs in engine:
+                service[ours] = engine[theirs]
+    return service
+
+
+_READERS = {"routes": route_of, "services": service_of}
+
+
+def _entries(kind: str, items: Any) -> dict[str, Any] | list[str]:
+    """Items by name, or what is wrong with them before anything else can be."""
+    if not isinstance(items, list):
+        return [f"{kind}: not a list"]
+    entries: dict[str, Any] = {}
+    wrong = []
+    for at, item in enumerate(items):
+        if not isinstance(item, dict) or not isinstance(item.get("name"), str):
+            wrong.append(f"{kind}.{at}: an object with a name is needed")
+        elif item["name"] in entries:
+            wrong.append(f"{kind}.{at}.name: {item['name']} stands twice")
+        else:
+            entries[item["name"]] = _READERS[kind](item)
+    return wrong or entries
+
+
+def _settings(document: dict[str, Any]) -> dict[str, Any] | list[str]:
+    revision, limits = document.get("revision"), document.get("limits")
+    wrong = [] if type(revision) is int and revision >= 0 else ["revision: a whole number is needed"]
+    if limits is not None and not isinstance(limits, dict):
+        wrong.append("limits: not an object")
+    if wrong:
+        return wrong
+    settings: dict[str, Any] = {"revision": revision}
+    if isinstance(limits, dict):
+        settings.update({ours: limits[theirs] for theirs, ours in _LIMITS.items() if theirs in limits})
+        settings["origin"] = [limits]
+    return settings
+
+
+def whole_of(document: Any) -> Result[dict[str, Any], list[str]]:
+    """A whole configuration in the product's terms, or every fault that its shape has."""
+    if not isinstance(document, dict):
+        return Failure(["configuration: not an object"])
+    wrong = [f"{name}: no such field" for name in document if name not in ("revision", "limits", *_READERS)]
+    body: dict[str, Any] = {}
+    for kind in ("services", "routes"):
+        read = _entries(kind, document.get(kind, []))
+        wrong.extend(read) if isinstance(read, list) else body.update({kind: read})
+    settings = _settings(document)
+    wrong.extend(settings) if isinstance(settings, list) else body.update({"settings": settings})
+    return Failure(wrong) if wrong else Success(body)
+
+
+def edits_of(document: Any) -> Result[list[dict[str, Any]], list[str]]:
+    """Named changes as the product's edits."""
+    if not isinstance(document, dict):
+        return Failure(["configuration: not an object"])
+    wrong = [f"{name}: no such field" for name in document if name not in ("revision", "upsert", "remove", "limits")]
+    edits: list[dict[str, Any]] = []
+    upsert, remove = document.get("upsert") or {}, document.get("remove") or {}
+    if not isinstance(upsert, dict) or not isinstance(remove, dict):
+        return Failure(["upsert, remove: objects are needed"])
+    for kind, names in remove.items():
+        if kind not in _READERS or not isinstance(names, list) or not all(isinstance(each, str) for each in names):
+            wrong.append(f"remove.{kind}: a list of names of routes or services is needed")
+            continue
+        kept = {each.get("name") for each in upsert.get(kind, []) if isinstance(each, dict)}
+        edits += [{"kind": kind, "name": each, "value": None, "gone": True} for each in names if each not in kept]
+    for kind, items in upsert.items():
+        read = _entries(kind, items) if kind in _READERS else [f"upsert.{kind}: no such kind"]
+        if isinstance(read, list):
+            wrong.extend(read)
+        else:
+            edits += [{"kind": kind, "name": name, "value": value} for name, value in read.items()]
+    settings = _settings(document)
+    if isinstance(settings, list):
+        wrong.extend(settings)
+    else:
+        edits += [{"kind": "settings", "name": name, "value": value} for name, value in settings.items()]
+    return Failure(wrong) if wrong else Success(edits)
+
+
+def document_of(body: dict[str, Any]) -> dict[str, Any]:
+    """A configuration as its operators sent it."""
+    settings = body.get("settings", {})
+    document: dict[str, Any] = {"revision": settings.get("revision", 0)}
+    for kind in ("routes", "services"):
+        document[kind] = [entry["origin"][0] for entry in body.get(kind, {}).values() if entry.get("origin")]
+    if settings.get("origin"):
+        document["limits"] = settings["origin"][0]
+    return document
+
+
+def named(fault: str) -> str:
+    """A fault with the operator's name of its field.
+
+    >>> named("routes.r.timeoutMs: 0 is not within 1 and 3600000")
+    'routes.r.timeout_ms: 0 is not within 1 and 3600000'
+    """
+    where, colon, reason = fault.partition(": ")
+    head, dot, last = where.rpartition(".")
+    return f"{head}{dot}{_BACK.get(last, last)}{colon}{reason}"
--- /dev/null
+++ b/src/finchswitch/platform/programs.py
@@ -0,0 +1,82 @@
+"""The product's programs on the platform: its settings file, its doors, its signals."""
+
+import os
+import sys
+from functools import partial
+
+import anyio
+from returns.result import Failure
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from finchswitch.accord.council import Council
+from finchswitch.accord.desk import make_desk
+from finchswitch.logs import to_stderr
+from finchswitch.mishap import Mishap, causes_of
+from finchswitch.platform.calls import PlatformDialect
+from finchswitch.platform.desk import desk_routes
+from finchswitch.platform.instances import InstanceLister
+from finchswitch.platform.settings import BOOT, read_settings
+from finchswitch.programs.accord import serve_accord
+from finchswitch.programs.startup import Startup
+from finchswitch.programs.transit import serve_transit
+from finchswitch.transit.doors import Calls, make_doors
+from finchswitch.transit.node import Node
+from finchswitch.wire.real import RealWorld
+
+__all__ = ["main"]
+
+_READINESS = "/api/readiness"
+
+
+async def _transit(startup: Startup, readiness: str) -> None:
+    async with anyio.create_task_group() as group:
+        world = RealWorld()
+        node = Node(world, startup, group, PlatformDialect(), InstanceLister)
+
+        async def ready(request: Request) -> Response:
+            return JSONResponse({}, 200 if node.ready() else 503)
+
+        looks = Starlette(routes=[Route(_READINESS, ready), *make_doors(node).routes])
+        group.start_soon(world.serve_http, looks, readiness, anyio.Event())
+        await serve_transit(world, node, Calls(node), group, partial(_seeds, "transit", startup))
+
+
+async def _accord(startup: Startup, readiness: str) -> None:
+    async with anyio.create_task_group() as group:
+        world = RealWorld()
+
+        def app(council: Council) -> Starlette:
+            return Starlette(routes=[*desk_routes(council), *make_desk(council).routes])
+
+        await serve_accord(world, startup, group, app, partial(_seeds, "accord", startup))
+
+
+def _seeds(program: str, startup: Startup) -> list[str]:
+    """The seeds as the settings file names them now; the present ones where it cannot be read."""
+    read = read_settings(program, os.environ.get(BOOT, ""))
+    return startup.seeds if isinstance(read, Failure) else read.unwrap()[0].seeds
+
+
+def main() -> int:
+    """Run the program that the first argument names; 2 when its settings are wrong."""
+    program = sys.argv[1] if len(sys.argv) > 1 else ""
+    if program not in ("transit", "accord"):
+        print("program: transit or accord", file=sys.stderr)
+        return 2
+    read = read_settings(program, os.environ.get(BOOT, ""))
+    if isinstance(read, Failure):
+        print("\n".join(read.failure()), file=sys.stderr)
+        return 2
+    startup, readiness = read.unwrap()
+    to_stderr(startup.log, startup.name)
+    try:
+        anyio.run(_transit if program == "transit" else _accord, startup, readiness, backend="trio")
+    except (OSError, Mishap, ExceptionGroup) as ended:
+        if not all(isinstance(each, (OSError, Mishap)) for each in causes_of(ended)):
+            raise
+        print("\n".join(f"{program} {startup.name} ends: {each}" for each in causes_of(ended)), file=sys.stderr)
+        return 1
+    return 0
--- a/src/finchswitch/programs/cli.py
+++ b/src/finchswitch/programs/cli.py
@@ -4,7 +4,7 @@
 4 committed but not everywhere yet, 5 fate unknown.
 """
 
-from collections.abc import Callable, Coroutine, Iterator
+from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -13,7 +13,7 @@
 from returns.result import Failure
 
 from finchswitch.logs import to_stderr
-from finchswitch.mishap import Mishap
+from finchswitch.mishap import Mishap, causes_of
 from finchswitch.programs import operate, stand_ins
 from finchswitch.programs.startup import Startup, read_startup
 
@@ -50,7 +50,7 @@
     try:
         anyio.run(run, startup, backend="trio")
     except (OSError, Mishap, ExceptionGroup) as ended:
-        causes = list(_causes(ended))
+        causes = list(causes_of(ended))
         if not all(isinstance(each, (OSError, Mishap)) for each in causes):
             raise
         for each in dict.fromkeys(str(each) for each in causes):
@@ -58,14 +58,6 @@
         raise typer.Exit(1) from None
 
 
-def _causes(ended: Exception) -> Iterator[Exception]:
-    if isinstance(ended, ExceptionGroup):
-        for each in ended.exceptions:
-            yield from _causes(each)
-    else:
-        yield ended
-
-
 @app.command()
 def transit(
     file: File = None,
--- a/src/finchswitch/programs/startup.py
+++ b/src/finchswitch/programs/startup.py
@@ -6,13 +6,15 @@
 import ipaddress
 import os
 import tomllib
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
 from returns.result import Failure, Result, Success
 
-__all__ = ["Startup", "read_startup"]
+from finchswitch.bounds import Bounds
+
+__all__ = ["Startup", "address_faults", "read_startup"]
 
 _LEVELS = ("debug", "info", "notice", "warning", "error")
 
@@ -29,6 +31,7 @@
     platform: str = ""
     data: str = ""
     log: str = "info"
+    bounds: Bounds = field(default_factory=Bounds)
 
 
 def read_startup(program: str, file: Path | None, flags: dict[str, Any]) -> Result[Startup, list[str]]:
@@ -59,7 +62,7 @@
             wrong.append(f"{name}: a string is needed")
     for name in ("address", "http", "platform"):
         if name in settings and name in needed:
-            wrong += _address_faults(name, settings[name])
+            wrong += address_faults(name, settings[name])
     wrong += _seed_faults(settings.get("seeds", [""] * 3))
     if settings.get("log", "info") not in _LEVELS:
         wrong.append(f"log: one of {', '.join(_LEVELS)}")
@@ -75,11 +78,12 @@
         return ["seeds: a list is needed"]
     if len(seeds) != 3:
         return [f"seeds: three addresses are needed, {len(seeds)} given"]
-    faults = [fault for seed in seeds if seed != "" for fault in _address_faults("seeds", seed)]
+    faults = [fault for seed in seeds if seed != "" for fault in address_faults("seeds", seed)]
     return faults + (["seeds: an address stands twice"] if len(set(seeds)) < 3 and "" not in seeds else [])
 
 
-def _address_faults(name: str, value: Any) -> list[str]:
+def address_faults(name: str, value: Any) -> list[str]:
+    """What is wrong with an address, an IP number and a port."""
     if not isinstance(value, str):
         return [f"{name}: a string is needed"]
     host, _, port = value.rpartition(":")
--- a/src/finchswitch/programs/transit.py
+++ b/src/finchswitch/programs/transit.py
@@ -1,10 +1,13 @@
 """transit, the routing node: its planes, its doors, and a stop that lets streams finish."""
 
 import signal
+from collections.abc import Callable
+from typing import Any
 
 import anyio
+from anyio.abc import TaskGroup
 
-from finchswitch.constants import CALLER_STILL_MS, STOP_SETTLE_MS
+from finchswitch.constants import CALLER_STILL_MS
 from finchswitch.logs import prefix
 from finchswitch.programs.startup import Startup
 from finchswitch.transit.asks import run_node
@@ -13,7 +16,7 @@
 from finchswitch.wire import World
 from finchswitch.wire.real import RealWorld
 
-__all__ = ["run_transit", "stop_node"]
+__all__ = ["run_transit", "serve_transit", "stop_node"]
 
 _log = prefix("transit")
 
@@ -22,29 +25,40 @@
     async with anyio.create_task_group() as group:
         world = RealWorld()
         node = Node(world, startup, group)
-        stop, closed = anyio.Event(), anyio.Event()
-        group.start_soon(run_node, node)
-        group.start_soon(_serve, world, node, startup.http, stop, closed)
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            async for _ in signals:
-                _log.info("Stopping; {} requests under way.", len(node.underway))
+        await serve_transit(world, node, make_doors(node), group, lambda: startup.seeds)
+
+
+async def serve_transit(world: World, node: Node, doors: Any, group: TaskGroup, seeds: Callable[[], list[str]]) -> None:
+    """Run a node behind its doors until SIGTERM; on SIGHUP the seeds are read again."""
+    stop, closed = anyio.Event(), anyio.Event()
+    group.start_soon(run_node, node)
+    group.start_soon(_serve, world, doors, node.startup.http, stop, closed)
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        async for each in signals:
+            if each is not signal.SIGHUP:
                 break
-        await stop_node(node, stop, closed)
-        group.cancel_scope.cancel()
+            node.member.new_seeds(seeds())
+    _log.info("Stopping; {} requests under way.", len(node.underway))
+    await stop_node(node, stop, closed)
+    group.cancel_scope.cancel()
 
 
-async def _serve(world: World, node: Node, address: str, stop: anyio.Event, closed: anyio.Event) -> None:
-    await world.serve_http(make_doors(node), address, stop)
+async def _serve(world: World, doors: Any, address: str, stop: anyio.Event, closed: anyio.Event) -> None:
+    await world.serve_http(doors, address, stop)
     closed.set()
 
 
 async def stop_node(node: Node, stop: anyio.Event, closed: anyio.Event) -> None:
     """Unready first, then no seats, then the streams under way to their end, then the leave."""
+    began_ms, bounds = node.world.now_ms(), node.bounds
     node.stopping = True
-    await node.world.sleep(STOP_SETTLE_MS)
+    await node.world.sleep(bounds.stop_settle_ms)
     node.member.stop()
     stop.set()
-    with anyio.move_on_after((node.creed().settings.answer_most_ms + 2 * CALLER_STILL_MS) / 1000):
+    most_ms: float = node.creed().settings.answer_most_ms + 2 * CALLER_STILL_MS
+    if bounds.grace_ms is not None:
+        most_ms = began_ms + bounds.grace_ms - node.world.now_ms()
+    with anyio.move_on_after(most_ms / 1000):
         await closed.wait()
     await node.member.leave()
     _log.info("Left.")
--- a/src/finchswitch/rehearsal/scenes_load.py
+++ b/src/finchswitch/rehearsal/scenes_load.py
@@ -79,7 +79,7 @@
     carries = 1000 * theatre.deployment.slots / 20  # pieces a second, at 20 ms each
     popular = replace(short, due_ms=8_000, pieces=round(0.7 * carries / 25))
     await call_many(theatre, popular, 250, 10_000, 0, "popular")
-    shown = {name: theatre.actors[name].node.hot(short.service) for name in transits(theatre)}  # type: ignore[union-attr]
+    shown = {name: theatre.actors[name].node.crowds.hot(short.service) for name in transits(theatre)}  # type: ignore[union-attr]
     expect(theatre, all(len(hot) == 1 for hot in shown.values()), f"one hot opening at every node: {shown}")
     late = [run for run in [run for runner in theatre.runners.values() for run in runner.runs][-600:]]
     spread = {run.runner for run in late if run.request_id.startswith("popular")}
--- a/src/finchswitch/transit/asks.py
+++ b/src/finchswitch/transit/asks.py
@@ -16,7 +16,7 @@
         node.group.start_soon(node.member.keep_session)
         node.group.start_soon(node.member.beat_peers, node)
         node.group.start_soon(node.follower.follow)
-        node.group.start_soon(node.roster.poll)
+        node.group.start_soon(node.roster.poll, node.duties.reads_list)
         node.group.start_soon(node.duties.tend)
         node.group.start_soon(node.forget_gone)
         async for asked in inbox:
@@ -28,7 +28,7 @@
     if asked.kind == "peer.beat":
         node.member.meet_peer(asked.body)
         node.roster.hear_leaving(asked.body["leaving"])
-        return node.member.word(node)
+        return {**node.member.word(node), "list": node.roster.spoken(asked.body)}
     if asked.kind == "news.follow":
         return await node.news.answer_follower(asked.body, asked.peer)
     if asked.kind == "peer.who":
--- a/src/finchswitch/transit/attempt.py
+++ b/src/finchswitch/transit/attempt.py
@@ -1,131 +1,95 @@
-"""One try at one runner: from the connection to [DONE], or to the mishap that ended it.
+"""One try at one runner: from the connection to the end of a whole answer, or to the mishap that ended it.
 
 A try that failed says whether the request surely did not run, or may have. What may have left as a byte is never
 called not run, unless the runner itself refused in the way its interface documents as not started.
 """
 
-import json
 from collections.abc import AsyncGenerator
 from contextlib import aclosing
-from dataclasses import dataclass
-from enum import Enum
-from typing import Any
+from typing import TYPE_CHECKING
 
 import anyio
 import httpx
-from httpx_sse import EventSource, SSEError
 
-from finchswitch.logs import prefix
-from finchswitch.mishap import Mishap, MishapKind
-from finchswitch.transit.prompt import Prompt
+from finchswitch.constants import DIAL_WAIT_MS, FIRST_WAIT_SHARE, PROOF_WAIT_MS, RUNNER_SILENT_MS
+from finchswitch.transit.dialect import Call, Dialect, Fate, Head, Piece, TryMishap
 from finchswitch.transit.proof import TICKET, Ticket
 from finchswitch.transit.roster import Known
 
-__all__ = ["Fate", "Piece", "TryMishap", "pieces_of"]
+if TYPE_CHECKING:
+    from finchswitch.transit.node import Node
 
-_log = prefix("call")
+__all__ = ["answer_of"]
 
 
-class Fate(Enum):
-    """What is known of a request at its end."""
-
-    COMPLETE = "complete"
-    NOT_RUN = "not-run"
-    UNKNOWN = "unknown"
-
-
-class TryMishap(Mishap):
-    """A try's end without a whole answer."""
-
-    def __init__(self, fate: Fate, step: str, peer: str, reason: str) -> None:
-        super().__init__(MishapKind.REFUSED if fate is Fate.NOT_RUN else MishapKind.LOST, step, peer, reason)
-        self.fate = fate
-
-
-@dataclass(frozen=True)
-class Piece:
-    """One piece of an answer; the last one says so, and only a whole answer has it."""
-
-    content: dict[str, Any]
-    weights: str
-    last: bool
-
-
-async def pieces_of(known: Known, prompt: Prompt, ticket: Ticket, first_wait_ms: float) -> AsyncGenerator[Piece, None]:
-    """Send the prompt and yield the answer's pieces; raises a TryMishap unless the answer came whole."""
+async def answer_of(
+    node: "Node",
+    dialect: Dialect,
+    known: Known,
+    call: Call,
+    ticket: Ticket,
+    due_ms: float,
+    left_ms: float,
+    after: str | None,
+) -> AsyncGenerator[tuple[Head, Piece | None], None]:
+    """Send the call and yield the head of its answer with each piece; raises a TryMishap unless it came whole."""
     TICKET.set(ticket)
-    headers = {"content-type": "application/json", "accept": "text/event-stream", "x-request-id": prompt.request_id}
-    url = f"http://{known.address}/v1/chat/completions"
-    step, request = "send", known.client.build_request("POST", url, content=prompt.body, headers=headers)
+    request = dialect.request(call, known, left_ms, after)
+    connect_ms = DIAL_WAIT_MS if dialect.kept else PROOF_WAIT_MS
+    silent_ms = min(RUNNER_SILENT_MS, left_ms)
+    request.extensions["timeout"] = {
+        "connect": connect_ms / 1000,
+        "read": silent_ms / 1000,
+        "write": silent_ms / 1000,
+        "pool": None,
+    }
+    step, first_ms, gap_ms = "send", *_patience(call, due_ms, silent_ms)
+    if dialect.kept and not node.permits(known.incarnation, ticket):
+        raise TryMishap(Fate.NOT_RUN, "permit", known.runner, "may not be sent to any more")
     try:
-        with anyio.fail_after(first_wait_ms / 1000):
-            response = await known.client.send(request, stream=True)
+        with anyio.fail_after(first_ms / 1000):
+            response = await known.transport.handle_async_request(request)
         try:
             step = "answer"
-            weights = _check_head(response, known, prompt)
-            async with aclosing(_events(response, known)) as events:
-                held: list[dict[str, Any]] = []
-                with anyio.fail_after(first_wait_ms / 1000):
-                    first = await anext(events)
+            known.heard(node.world.now_ms())
+            head = dialect.check_head(response, known, call)
+            async with aclosing(dialect.pieces(response, known, call)) as pieces:
+                with anyio.fail_after(first_ms / 1000):
+                    piece = await _next(pieces)
                 step = "stream"
-                content: dict[str, Any] | None = first
-                while content is not None:
-                    if held or _finishes(content):
-                        held.append(content)
-                    else:
-                        yield Piece(content, weights, last=False)
-                    content = await anext(events, None)
-                if not held:
-                    raise TryMishap(Fate.UNKNOWN, step, known.runner, "[DONE] without a finish")
-                for content in held[:-1]:
-                    yield Piece(content, weights, last=False)
-                yield Piece(held[-1], weights, last=True)
+                yield head, piece
+                while piece is not None:
+                    with anyio.fail_after(gap_ms / 1000):
+                        piece = await _next(pieces)
+                    if piece is not None:
+                        known.heard(node.world.now_ms())
+                        yield head, piece
         finally:
             with anyio.CancelScope(shield=True):
                 await response.aclose()
     except (httpx.ConnectError, httpx.ConnectTimeout) as error:
         raise TryMishap(Fate.NOT_RUN, "permit" if ticket.refused else "connect", known.runner, str(error)) from None
-    except (httpx.HTTPError, SSEError, TimeoutError) as error:
+    except (httpx.HTTPError, httpx.StreamError, TimeoutError) as error:
         fate, step = (Fate.UNKNOWN, step) if ticket.generation >= 0 else (Fate.NOT_RUN, "connect")
         raise TryMishap(fate, step, known.runner, f"{type(error).__name__} {error}") from None
 
 
-def _check_head(response: httpx.Response, known: Known, prompt: Prompt) -> str:
-    shown = (response.headers.get("x-runner"), response.headers.get("x-incarnation"))
-    if shown != (known.runner, known.incarnation):
-        raise TryMishap(Fate.UNKNOWN, "answer", known.runner, f"answered as {shown}")
-    if response.headers.get("x-request-id") != prompt.request_id:
-        raise TryMishap(Fate.UNKNOWN, "answer", known.runner, "answered another request")
-    if response.status_code != 200:
-        refused = response.headers.get("x-outcome") == Fate.NOT_RUN.value
-        fate = Fate.NOT_RUN if refused else Fate.UNKNOWN
-        raise TryMishap(fate, "answer", known.runner, f"status {response.status_code}")
-    return str(response.headers.get("x-weights", ""))
-
-
-async def _events(response: httpx.Response, known: Known) -> AsyncGenerator[dict[str, Any], None]:
-    """The pieces up to [DONE], checked for shape and for numbers where the runner gives them."""
-    number = None
-    async for event in EventSource(response).aiter_sse():
-        if event.data == "[DONE]":
-            return
-        if event.id.isdigit():
-            if not _follows(int(event.id), number):
-                raise TryMishap(Fate.UNKNOWN, "stream", known.runner, f"piece {event.id} after {number}")
-            number = int(event.id)
-        try:
-            content = json.loads(event.data)
-        except ValueError:
-            raise TryMishap(Fate.UNKNOWN, "stream", known.runner, "a piece is not JSON") from None
-        if not isinstance(content, dict) or not isinstance(content.get("choices"), list):
-            raise TryMishap(Fate.UNKNOWN, "stream", known.runner, "a piece without choices")
-        yield content
-    raise TryMishap(Fate.UNKNOWN, "stream", known.runner, "ended before [DONE]")
-
-
-def _follows(number: int, before: int | None) -> bool:
-    return before is None or number == before + 1
-
-
-def _finishes(content: dict[str, Any]) -> bool:
-    return any(isinstance(each, dict) and each.get("finish_reason") for each in content["choices"])
+async def _next(pieces: AsyncGenerator[Piece, None]) -> Piece | None:
+    """The next piece, or None at the end."""
+    try:
+        return await pieces.__anext__()
+    except StopAsyncIteration:
+        return None
+
+
+def _patience(call: Call, due_ms: float, silent_ms: float) -> tuple[float, float]:
+    """How long a first piece and a next one are awaited.
+
+    An answer that may be taken up elsewhere is given up while its caller still waits; any other one is waited for, as
+    silence does not show that a runner stopped.
+    """
+    if call.resumable and call.due_ms is not None and call.gap_ms is not None:
+        return 1.5 * call.due_ms, max(3 * call.gap_ms, call.due_ms)
+    if call.limit_ms is not None:
+        return silent_ms, silent_ms
+    return due_ms * FIRST_WAIT_SHARE, silent_ms
--- a/src/finchswitch/transit/call.py
+++ b/src/finchswitch/transit/call.py
@@ -1,51 +1,75 @@
 """A caller's request from top to bottom: read, seated, run, passed on piece by piece, ended with an honest outcome.
 
-The head of the answer waits for the first piece, so that a request which fails before it gets a plain status.
-After the first piece there are no more tries: the stream ends whole, or with an error event and no [DONE].
+The head of the answer waits for the first piece, so that a request which fails before it gets a plain status. After
+the first piece there are no more tries, unless the answer may be taken up where it broke: then another runner goes on
+behind the last piece that was passed on, inside the same answer.
 """
 
-import json
 from contextlib import aclosing
 from typing import TYPE_CHECKING, Any
 
 import anyio
 from returns.result import Failure
-from starlette.requests import Request
 
 from finchswitch.affinity import Drawn
-from finchswitch.constants import FIRST_WAIT_SHARE, RETRY_AFTER_LEAST_S, RETRY_AFTER_MOST_S
+from finchswitch.constants import RETRY_AFTER_LEAST_S, RETRY_AFTER_MOST_S
 from finchswitch.logs import prefix
-from finchswitch.transit.attempt import Fate, Piece, TryMishap, pieces_of
-from finchswitch.transit.prompt import Prompt, Refusal, read_prompt
+from finchswitch.transit.attempt import answer_of
+from finchswitch.transit.dialect import Call, Dialect, Fate, Head, Headers, Refusal, TryMishap
 from finchswitch.transit.proof import Ticket
 
 if TYPE_CHECKING:
     from finchswitch.transit.node import Node
 
-__all__ = ["answer_call"]
+__all__ = ["Broken", "answer_call"]
 
 _log = prefix("call")
 Send = Any
 
 
-async def answer_call(node: "Node", scope: Any, receive: Any, send: Send) -> None:
-    """One request."""
+class Broken(Exception):
+    """An answer that cannot be ended well: the caller's connection must be cut."""
+
+
+class _Flow:
+    """What of an answer has reached the caller."""
+
+    def __init__(self, node: "Node", send: Send) -> None:
+        self._node, self._send = node, send
+        self.head: Head | None = None
+        self.at: str | None = None
+        self.pieces = 0
+
+    async def begin(self, head: Head, status: int, headers: Headers) -> None:
+        self.head = head
+        await _start(self._node, self._send, status, headers)
+
+    async def go_on(self, data: bytes, more: bool = True) -> None:
+        await self._send({"type": "http.response.body", "body": data, "more_body": more})
+
+
+async def answer_call(node: "Node", dialect: Dialect, scope: Any, receive: Any, send: Send) -> None:
+    """One request. Raises Broken when nothing but a cut connection can tell the caller that the answer broke."""
     node.vitals["asked"] += 1
-    read = await read_prompt(Request(scope, receive), node.fresh_id())
+    read = await dialect.read(node, scope, receive)
     if isinstance(read, Failure):
-        return await _end(node, send, "", read.failure().status, Fate.NOT_RUN, read.failure().reason)
-    prompt = read.unwrap()
-    if prompt.request_id in node.underway or node.sent.bars(prompt.request_id, prompt.repeatable, node.world.now_ms()):
-        reason = "this request id is under way here, or was lately sent to a runner"
-        return await _end(node, send, prompt.request_id, 409, Fate.UNKNOWN, reason)
-    node.underway.add(prompt.request_id)
+        request_id, refusal = read.failure()
+        return await _end(node, dialect, send, request_id, refusal, Fate.NOT_RUN)
+    call = read.unwrap()
+    if call.request_id in node.underway or node.sent.bars(call.request_id, call.repeatable, node.world.now_ms()):
+        refusal = Refusal(409, "this request id is under way here, or was lately sent to a runner")
+        return await _end(node, dialect, send, call.request_id, refusal, Fate.UNKNOWN)
+    node.underway.add(call.request_id)
+    broken = False
     try:
         async with anyio.create_task_group() as group:
             group.start_soon(_watch_caller, receive, group.cancel_scope)
-            await _run(node, prompt, send)
+            broken = not await _run(node, dialect, call, send)
             group.cancel_scope.cancel()
     finally:
-        node.underway.discard(prompt.request_id)
+        node.underway.discard(call.request_id)
+    if broken:
+        raise Broken(call.request_id)
 
 
 async def _watch_caller(receive: Any, scope: anyio.CancelScope) -> None:
@@ -55,95 +79,91 @@
     scope.cancel()
 
 
-async def _run(node: "Node", prompt: Prompt, send: Send) -> None:
-    began_ms, tried, fate, reason = node.world.now_ms(), set[str](), Fate.NOT_RUN, ""
-    node.tries.prompt(began_ms)
-    node.count_opening(prompt.opening)
+async def _run(node: "Node", dialect: Dialect, call: Call, send: Send) -> bool:
+    """Try after try; whether the caller got an end that tells the truth."""
+    began_ms, tried, fate, reason, flow = node.world.now_ms(), set[str](), Fate.NOT_RUN, "", _Flow(node, send)
+    node.tries.prompt(began_ms, call.service)
+    node.crowds.count(call.opening)
     while True:
-        granted = node.grant(prompt, tried, began_ms)
+        granted = node.grant(call, tried, began_ms)
         if isinstance(granted, Refusal):
             if not tried:
-                return await _end(node, send, prompt.request_id, granted.status, Fate.NOT_RUN, granted.reason)
+                await _end(node, dialect, send, call.request_id, granted, Fate.NOT_RUN)
+                return True
             break
         drawn, due_ms = granted
         try:
-            return await _pass_on(node, prompt, drawn, due_ms, send)
+            await _pass_on(node, dialect, call, drawn, due_ms, began_ms, flow)
+            return True
         except TryMishap as mishap:
-            _log.info("A try failed, {}. {}", mishap.fate.value, mishap)
+            _log.info("A try failed, {}, after {} pieces. {}", mishap.fate.value, flow.pieces, mishap)
+            last, reason = mishap, str(mishap)
             tried.add(drawn.runner.runner)
             fate = Fate.UNKNOWN if mishap.fate is Fate.UNKNOWN else fate
             if fate is Fate.NOT_RUN:
-                node.sent.take_back(prompt.request_id)
-            reason = str(mishap)
-            if mishap.step == "connect":
-                node.roster.down(node.roster.known[drawn.runner.incarnation], mishap.reason)
-        repeats = fate is Fate.NOT_RUN or prompt.repeatable
-        if not repeats or not node.tries.take(node.tries_share(), node.world.now_ms()):
+                node.sent.take_back(call.request_id)
+            node.missed(drawn.runner.incarnation, mishap)
+        taken_up = call.resumable and (flow.head is None or (flow.at is not None and not flow.head.failed))
+        repeats = taken_up if flow.head is not None else fate is Fate.NOT_RUN or call.repeatable
+        if not repeats or len(tried) >= (call.most_runners or len(tried) + 1):
             break
-    await _end(node, send, prompt.request_id, 503 if fate is Fate.NOT_RUN else 502, fate, reason)
-
-
-async def _pass_on(node: "Node", prompt: Prompt, drawn: Drawn, due_ms: float, send: Send) -> None:
-    """One try; raises a TryMishap only while nothing was passed on."""
+        if not node.may_try_again(call.service):
+            break
+    if flow.head is None:
+        refusal = Refusal(503 if fate is Fate.NOT_RUN else 502, reason)
+        await _end(node, dialect, send, call.request_id, refusal, fate)
+        return True
+    _log.warning("An answer broke after {} pieces. {}", flow.pieces, last)
+    node.vitals["broken"] += 1
+    said = dialect.broken(last)
+    if said is not None:
+        await flow.go_on(said, more=False)
+    return said is not None
+
+
+async def _pass_on(
+    node: "Node", dialect: Dialect, call: Call, drawn: Drawn, due_ms: float, began_ms: float, flow: _Flow
+) -> None:
+    """One try; raises a TryMishap unless the answer is whole now."""
     known, seat = node.roster.known[drawn.runner.incarnation], node.take_seat(drawn)
-    number, opening = 0, prompt.opening
-    ticket = Ticket(prompt.request_id, prompt.repeatable, prompt.service, opening.digest, drawn.runner.runner)
+    ticket = Ticket(call.request_id, call.repeatable, call.service, call.opening.digest, drawn.runner.runner)
+    limit_ms = call.limit_ms or float(node.creed().settings.answer_most_ms)
+    left_ms = began_ms + limit_ms - node.world.now_ms()
     try:
-        with anyio.fail_after(node.creed().settings.answer_most_ms / 1000):
-            async with aclosing(pieces_of(known, prompt, ticket, due_ms * FIRST_WAIT_SHARE)) as pieces:
-                async for piece in pieces:
-                    if number == 0:
-                        seat.begun(piece.weights)
-                        await _start(send, prompt, drawn, piece, ticket)
-                    number += 1
-                    content = piece.content
-                    if piece.last:
-                        content = {**content, "outcome": Fate.COMPLETE.value, "request_id": prompt.request_id}
-                    await _event(send, f"id: {number}\ndata: {json.dumps(content, separators=(',', ':'))}\n\n")
-    except (TryMishap, TimeoutError) as ended:
-        longest = TryMishap(Fate.UNKNOWN, "stream", known.runner, "longer than answerMostMs allows")
-        mishap = ended if isinstance(ended, TryMishap) else longest
-        if number == 0:
-            raise mishap from None
-        _log.warning("A stream broke after {} pieces. {}", number, mishap)
-        node.vitals["broken"] += 1
-        error = {"message": mishap.reason, "type": mishap.step, "outcome": Fate.UNKNOWN.value}
-        await _event(send, f"event: error\ndata: {json.dumps({'error': error})}\n\n", more=False)
-        return
+        with anyio.fail_after(left_ms / 1000):
+            async with aclosing(answer_of(node, dialect, known, call, ticket, due_ms, left_ms, flow.at)) as answer:
+                begun = False
+                async for head, piece in answer:
+                    if not begun:
+                        begun = True
+                        seat.begun(head.weights)
+                        if flow.head is None:
+                            status, headers = dialect.opened(call, head, ticket, drawn.way.value)
+                            await flow.begin(head, status, headers)
+                    if piece is not None:
+                        flow.pieces += 1
+                        flow.at = piece.at or flow.at
+                        await flow.go_on(piece.data)
+    except TimeoutError:
+        raise TryMishap(Fate.UNKNOWN, "stream", known.runner, "longer than anybody waits for it") from None
     finally:
         seat.free()
     node.vitals["complete"] += 1
-    await _event(send, "data: [DONE]\n\n", more=False)
-
-
-async def _start(send: Send, prompt: Prompt, drawn: Drawn, piece: Piece, ticket: Ticket) -> None:
-    headers = {
-        "content-type": "text/event-stream",
-        "cache-control": "no-store",
-        "x-request-id": prompt.request_id,
-        "x-runner": drawn.runner.runner,
-        "x-incarnation": drawn.runner.incarnation,
-        "x-weights": piece.weights,
-        "x-way": drawn.way.value,
-        "x-generation": str(ticket.generation),
-    }
-    await send({"type": "http.response.start", "status": 200, "headers": _raw(headers)})
+    await flow.go_on(b"", more=False)
 
 
-async def _event(send: Send, text: str, more: bool = True) -> None:
-    await send({"type": "http.response.body", "body": text.encode(), "more_body": more})
-
-
-async def _end(node: "Node", send: Send, request_id: str, status: int, fate: Fate, reason: str) -> None:
+async def _end(node: "Node", dialect: Dialect, send: Send, request_id: str, refusal: Refusal, fate: Fate) -> None:
     """A final answer without pieces, at once; whoever may come back is told when."""
     node.vitals[fate.value] += 1
-    headers = {"content-type": "application/json", "x-outcome": fate.value, "x-request-id": request_id}
-    if status in (429, 502, 503):
-        headers["retry-after"] = str(node.world.chance.randint(RETRY_AFTER_LEAST_S, RETRY_AFTER_MOST_S))
-    body = json.dumps({"error": {"message": reason, "outcome": fate.value, "request_id": request_id}})
-    await send({"type": "http.response.start", "status": status, "headers": _raw(headers)})
-    await send({"type": "http.response.body", "body": body.encode()})
-
-
-def _raw(headers: dict[str, str]) -> list[tuple[bytes, bytes]]:
-    return [(name.encode(), value.encode("latin-1", "replace")) for name, value in headers.items()]
+    after_s = float(node.world.chance.randint(RETRY_AFTER_LEAST_S, RETRY_AFTER_MOST_S))
+    if refusal.after_ms is not None:
+        after_s = refusal.after_ms / 1000
+    status, headers, body = dialect.ended(request_id, refusal.status, fate, refusal.reason, after_s)
+    await _start(node, send, status, headers)
+    await send({"type": "http.response.body", "body": body})
+
+
+async def _start(node: "Node", send: Send, status: int, headers: Headers) -> None:
+    """The head of an answer; a node that is stopping takes no further request on the connection."""
+    closing = [(b"connection", b"close")] if node.stopping else []
+    await send({"type": "http.response.start", "status": status, "headers": [*headers, *closing]})
--- a/src/finchswitch/transit/doors.py
+++ b/src/finchswitch/transit/doors.py
@@ -13,20 +13,31 @@
 from finchswitch.transit.call import answer_call
 from finchswitch.transit.node import Node
 
-__all__ = ["make_doors"]
+__all__ = ["Calls", "make_doors"]
 
 
-class _Calls:
+class Calls:
+    """Callers' requests as an ASGI app, in the node's dialect."""
+
     def __init__(self, node: Node) -> None:
         self._node = node
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
-        await answer_call(self._node, scope, receive, send)
+        if scope["type"] == "lifespan":
+            return await _live(receive, send)
+        await answer_call(self._node, self._node.dialect, scope, receive, send)
+
+
+async def _live(receive: Any, send: Any) -> None:
+    """The server's word that it starts and stops; nothing hangs on it."""
+    while (message := await receive())["type"] != "lifespan.shutdown":
+        await send({"type": f"{message['type']}.complete"})
+    await send({"type": "lifespan.shutdown.complete"})
 
 
 def make_doors(node: Node) -> Starlette:
     async def ready(request: Request) -> Response:
-        is_ready = node.may_grant() and not node.stopping and bool(node.roster.up())
+        is_ready = node.ready()
         state = "stopping" if node.stopping else node.member.state.value
         body = {"ready": is_ready, "state": state, "generation": node.generation()}
         return JSONResponse(body, 200 if is_ready else 503)
@@ -45,7 +56,7 @@
         return JSONResponse(body, status, headers={**headers, "x-outcome": "not-run"})
 
     routes = [
-        Route("/v1/chat/completions", _Calls(node), methods=["POST"]),
+        Route("/v1/chat/completions", Calls(node), methods=["POST"]),
         Route("/ready", ready),
         Route("/vitals", vitals),
         Route("/beliefs", beliefs),
@@ -74,7 +85,7 @@
         "members": sorted(each["name"] for each in node.member.members),
         "runners": runners,
         "homes": {name: _homes(node, name) for name in sorted(creed.services)},
-        "hot": {name: node.hot(name) for name in sorted(creed.services)},
+        "hot": {name: node.crowds.hot(name) for name in sorted(creed.services)},
         "plans": {name: node.plan_state(name) for name in sorted(creed.plans)},
         "fences": _fences(node),
     }
--- a/src/finchswitch/transit/duties.py
+++ b/src/finchswitch/transit/duties.py
@@ -8,11 +8,10 @@
 from typing import TYPE_CHECKING, Any
 
 import httpx
-from prometheus_client.parser import text_string_to_metric_families
 
 from finchswitch.accord.document import part_of
 from finchswitch.affinity import pick_hot
-from finchswitch.constants import ASK_WAIT_MS, HOT_MOST, PLAN_STEP_MS, VITALS_POLL_MS
+from finchswitch.constants import ASK_WAIT_MS, DUTY_MS, HOT_MOST, PLAN_STEP_MS
 from finchswitch.logs import prefix
 from finchswitch.mishap import Mishap, MishapKind
 from finchswitch.transit.plans import PlanSight, advance
@@ -48,16 +47,23 @@
     async def tend(self) -> None:
         """Take up every key that falls to this node; each is done by itself, so that a dark runner delays its own."""
         while True:
-            await self._node.world.sleep(VITALS_POLL_MS)
+            await self._node.world.sleep(DUTY_MS)
             if not self._node.may_grant() or not self._node.member.members:
                 continue
-            names = [each["name"] for each in self._node.member.members]
-            mine = [key for key in self._keys() if holder_of(key, names) == self._node.member.card["name"]]
+            mine = [key for key in self._keys() if self._mine(key)]
             self.vitals = {run: word for run, word in self.vitals.items() if f"vitals/{run}" in mine}
             for key in sorted(set(mine) - self._busy):
                 self._busy.add(key)
                 self._node.group.start_soon(self._attend, key)
 
+    def _mine(self, key: str) -> bool:
+        names = [each["name"] for each in self._node.member.members]
+        return holder_of(key, names) == str(self._node.member.card["name"])
+
+    def reads_list(self) -> bool:
+        """Whether it falls to this node to read the platform's list for all. Two readers do no harm: no fence."""
+        return self._mine("list")
+
     async def _attend(self, key: str) -> None:
         try:
             fence = await self._hold(key)
@@ -71,10 +77,11 @@
     def _keys(self) -> list[str]:
         """The keys there are now; a service that nobody calls has none, however many are configured."""
         creed = self._node.creed()
-        called = set(self._node.called())
+        called = set(self._node.crowds.called())
         for beat in self._node.member.heard_peers():
             called.update(beat["counts"])
-        keys = [f"vitals/{name}" for name in creed.runners]
+        vitals = self._node.bounds.vitals_poll_ms > 0
+        keys = [f"vitals/{name}" for name in creed.runners] if vitals else []
         keys += [f"hot/{name}" for name in sorted(called) if name in creed.services]
         return keys + [f"plan/{name}" for name in creed.plans]
 
@@ -114,23 +121,22 @@
             return
         asked_ms = self._node.world.now_ms()
         try:
-            response = await known.reader.get(f"http://{known.address}/metrics", timeout=ASK_WAIT_MS / 1000)
+            running = await self._node.dialect.probe(known)
         except httpx.HTTPError as error:
             if isinstance(error, (httpx.ConnectError, httpx.ConnectTimeout)):
                 self._node.roster.down(known, str(error))
             raise Mishap(MishapKind.SILENT, "vitals", name, repr(error)) from None
-        running = read_running(response.text, name)
         self.vitals[name] = [fence, known.incarnation, running, asked_ms]
         self._node.burdens.report(known.incarnation, running, asked_ms)
 
     async def _merge_hot(self, key: str, name: str, fence: int) -> None:
         service, now_ms = self._node.creed().services[name], self._node.world.now_ms()
-        _, shares = self._node.popularity(name).top(4 * HOT_MOST, now_ms)
+        _, shares = self._node.crowds.popularity(name).top(4 * HOT_MOST, now_ms)
         for beat in self._node.member.heard_peers():
             _, told = beat["counts"].get(name, (0.0, {}))
             for digest, share in told.items():
                 shares[digest] = shares.get(digest, 0.0) + share
-        held = self._node.hot(name)
+        held = self._node.crowds.hot(name)
         hot = pick_hot(shares, held, service.hot_most, service.hot_enter_share, service.hot_leave_share)
         if hot != held:
             value = {"fence": fence, "openings": hot}
@@ -168,18 +174,3 @@
             if fence >= self._seen_fences.get(name, 0):
                 self._seen_fences[name] = fence
                 self._node.burdens.report(incarnation, running, self._node.world.now_ms() - age_ms)
-
-
-def read_running(text: str, peer: str) -> float:
-    """Requests running at a runner, from its Prometheus text.
-
-    >>> read_running("# TYPE vllm:num_requests_running gauge\\nvllm:num_requests_running 3.0\\n", "r")
-    3.0
-    """
-    try:
-        for family in text_string_to_metric_families(text):
-            if family.name == "vllm:num_requests_running":
-                return sum(float(sample.value) for sample in family.samples)
-    except ValueError as wrong:
-        raise Mishap(MishapKind.BROKEN, "vitals", peer, str(wrong)) from None
-    raise Mishap(MishapKind.BROKEN, "vitals", peer, "no vllm:num_requests_running")
--- a/src/finchswitch/transit/node.py
+++ b/src/finchswitch/transit/node.py
@@ -4,20 +4,27 @@
 from its own seats and its peers' word. ``grant`` puts them together for one prompt.
 """
 
+from collections.abc import Callable
 from typing import Any
 
+import httpx
 from anyio.abc import TaskGroup
 
 from finchswitch.accord.document import part_of
-from finchswitch.affinity import Beliefs, Burdens, Choices, Drawn, Draws, Opening, Popularity, Seatable, owners
-from finchswitch.constants import CREED_PART, FORGET_MS, HOT_MOST
-from finchswitch.creed import Creed, read_creed
+from finchswitch.affinity import Beliefs, Burdens, Choices, Drawn, Draws, Seatable, owners
+from finchswitch.bounds import Bounds
+from finchswitch.constants import CREED_PART, FORGET_MS, TRIES_FLOOR
+from finchswitch.creed import Creed, Service, read_creed
+from finchswitch.creed.routes import RouteTable
 from finchswitch.kinship.member import Member
 from finchswitch.relay import NewsBook
 from finchswitch.relay.follow import Follower
+from finchswitch.transit.crowds import Crowds
+from finchswitch.transit.dialect import Call, Dialect, Refusal, TryMishap
 from finchswitch.transit.duties import Duties
+from finchswitch.transit.own import OwnDialect
 from finchswitch.transit.plans import PlanPhase, runners_under
-from finchswitch.transit.prompt import Prompt, Refusal
+from finchswitch.transit.platform import Lister, SliceLister
 from finchswitch.transit.proof import Ticket
 from finchswitch.transit.roster import Roster
 from finchswitch.transit.seat import Seat
@@ -29,8 +36,17 @@
 
 
 class Node:
-    def __init__(self, world: World, startup: Any, group: TaskGroup) -> None:
+    def __init__(
+        self,
+        world: World,
+        startup: Any,
+        group: TaskGroup,
+        dialect: Dialect | None = None,
+        lister: Callable[[httpx.AsyncClient, str], Lister] = SliceLister,
+    ) -> None:
         self.world, self.group, self.startup = world, group, startup
+        self.bounds: Bounds = startup.bounds
+        self.dialect: Dialect = dialect or OwnDialect()
         self.book, self.news = Book(world, group), NewsBook()
         card = {
             "name": startup.name,
@@ -39,20 +55,22 @@
             "district": startup.district,
             "incarnation": world.chance.randbytes(6).hex(),
         }
-        self.member = Member(world, self.book, self.news, card, startup.seeds)
+        self.member = Member(world, self.book, self.news, card, startup.seeds, self.bounds.serves_alone)
         self.follower = Follower(world, self.book, self.news, self.member)
-        self.roster = Roster(world, startup.platform, self)
+        client = httpx.AsyncClient(transport=world.http_transport(), trust_env=False)
+        self.roster = Roster(world, lister(client, startup.platform), self, self.bounds, self.dialect.kept)
         self.beliefs, self.burdens = Beliefs(), Burdens()
         self.draws = Draws(self.beliefs, self.burdens, world.chance)
-        self.tries, self.duties = Tries(), Duties(self)
+        self.crowds = Crowds(self)
+        self.tries, self.duties = Tries(self.bounds.tries_window_ms), Duties(self)
         self.underway: set[str] = set()
         self.sent = Sent()
         self.vitals = dict.fromkeys(("asked", "complete", "broken", "not-run", "unknown", "granted"), 0)
         self.ways: dict[str, int] = {}
         self.stopping = False
-        self._popularity: dict[str, Popularity] = {}
-        self._creed: tuple[int, Creed] = (-1, Creed())
-        self._bound: dict[str, str] = {}  # the binding of each service; a checked configuration has one at the most
+        self._creed: tuple[int, Any, Creed] = (-1, {}, Creed())
+        self._table = RouteTable(Creed())
+        self.bound: dict[str, str] = {}  # the binding of each service; a checked configuration has one at the most
 
     def fresh_id(self) -> str:
         return f"fs-{self.world.chance.randbytes(12).hex()}"
@@ -63,16 +81,41 @@
     def creed(self) -> Creed:
         """The configuration in effect here, read once a generation."""
         if self._creed[0] != self.generation():
-            self._creed = (self.generation(), read_creed(self.news.body(CREED_PART)).value_or(self._creed[1]))
-            self._bound = {binding.service: name for name, binding in self._creed[1].bindings.items()}
-        return self._creed[1]
-
-    def tries_share(self) -> float:
-        return self.creed().settings.tries_share
+            _, before, creed = self._creed
+            body = self.news.body(CREED_PART)
+            creed = read_creed(body, (before, creed)).value_or(creed)
+            self._creed, self._table = (self.generation(), body, creed), RouteTable(creed)
+            self.bound = {binding.service: name for name, binding in creed.bindings.items()}
+        return self._creed[2]
+
+    def routes(self) -> RouteTable:
+        """The routes in effect here."""
+        self.creed()
+        return self._table
+
+    def may_try_again(self, service: str) -> bool:
+        """Whether the budget of extra tries has room for one more now; if so it is counted."""
+        share = self.creed().settings.tries_share if self.bounds.tries_share is None else self.bounds.tries_share
+        floor = self.bounds.tries_floor(len(self.member.members), TRIES_FLOOR)
+        return self.tries.take(share, self.world.now_ms(), service, floor)
+
+    def missed(self, incarnation: str, mishap: TryMishap) -> None:
+        """A try at a runner ended in a mishap: one that cannot be reached, or answers nothing, is passed over."""
+        known = self.roster.known.get(incarnation)
+        if known is None:
+            return
+        if mishap.step == "connect":
+            self.roster.down(known, mishap.reason)
+        elif self.dialect.kept and mishap.step != "permit":
+            self.roster.suspect(known, mishap.reason)
 
     def may_grant(self) -> bool:
         return self.member.may_grant()
 
+    def ready(self) -> bool:
+        """Whether callers may be handed to this node."""
+        return self.may_grant() and not self.stopping and bool(self.roster.up())
+
     def permits(self, incarnation: str, ticket: Ticket | None) -> bool:
         """Asked last before anything is put on a connection; a request is judged by what is held now, and noted."""
         if not (self.member.may_send() and self.roster.sendable(incarnation)):
@@ -80,35 +123,12 @@
         if ticket is None:
             return True
         able = self.runners_of(ticket.service, ticket.digest)
-        ticket.refused = able is None or ticket.runner not in able[0]
+        ticket.refused, ticket.incarnation = able is None or ticket.runner not in able[0], incarnation
         if not ticket.refused:
             ticket.generation = self.generation()
             self.sent.note(ticket.request_id, ticket.repeatable, self.world.now_ms())
         return not ticket.refused
 
-    def popularity(self, service: str) -> Popularity:
-        return self._popularity.setdefault(service, Popularity())
-
-    def called(self) -> dict[str, tuple[float, dict[str, float]]]:
-        """The highest counts of each service that was called lately."""
-        now_ms = self.world.now_ms()
-        tops = {name: each.top(2 * HOT_MOST, now_ms) for name, each in self._popularity.items()}
-        return {name: top for name, top in tops.items() if top[0] >= 1.0}
-
-    def count_opening(self, opening: Opening) -> None:
-        """Count a prompt by what it takes of a home, served or not: its own prefill, or its part of the slots."""
-        creed = self.creed()
-        name = self._bound.get(opening.service)
-        if name is not None:
-            bound = [creed.runners[each] for each in creed.bindings[name].runners]
-            prefill_ms = 1000 * opening.own_tokens / min(each.prefill_tokens_per_s for each in bound)
-            slot_ms = self.burdens.service_ms(opening.service) / min(each.slots for each in bound)
-            self.popularity(opening.service).count(opening.digest, max(prefill_ms, slot_ms), self.world.now_ms())
-
-    def hot(self, service: str) -> list[str]:
-        record = self.news.body(part_of(f"hot/{service}")).get("hot", {}).get(service)
-        return list(record["openings"]) if record else []
-
     def plan_state(self, plan: str) -> dict[str, Any] | None:
         record: dict[str, Any] | None = self.news.body(part_of(f"plan/{plan}")).get("plans", {}).get(plan)
         return record
@@ -116,9 +136,12 @@
     def runners_of(self, service: str, digest: str) -> tuple[list[str], list[str]] | None:
         """The runners that may serve a service now, and those that own the opening; None without a binding."""
         creed = self.creed()
-        name = self._bound.get(service)
+        name = self.bound.get(service)
         if name is None:
-            return None
+            if service not in creed.services or not creed.services[service].listed:
+                return None
+            listed = self.roster.serving(service)
+            return listed, listed
         binding = creed.bindings[name]
         for plan_name, plan in creed.plans.items():
             if name in plan.bindings:
@@ -132,32 +155,46 @@
                 return sorted({*before, *after}), owners(digest, before, after, share)
         return binding.runners, binding.runners
 
-    def grant(self, prompt: Prompt, tried: set[str], began_ms: float) -> tuple[Drawn, float] | Refusal:
-        """A seat for the prompt and the time left until its due, or why there is none."""
+    def grant(self, call: Call, tried: set[str], began_ms: float) -> tuple[Drawn, float] | Refusal:
+        """A seat for the call and the time left until its first token is due, or why there is none."""
         if not self.may_grant():
             return Refusal(503, f"this node is {self.member.state.value}")
-        creed, opening, now_ms = self.creed(), prompt.opening, self.world.now_ms()
-        service = creed.services.get(prompt.service)
+        creed, opening, now_ms = self.creed(), call.opening, self.world.now_ms()
+        service = creed.services.get(call.service)
         if service is None:
             return Refusal(404, "model: no such service")
-        able = self.runners_of(prompt.service, opening.digest)
+        able = self.runners_of(call.service, opening.digest)
         if able is None:
             return Refusal(503, "no binding for this service")
-        up = self.roster.up()
-        seatable = [
-            Seatable(name, up[name].incarnation, creed.runners[name].slots, creed.runners[name].prefill_tokens_per_s)
-            for name in able[0]
-            if name in up and name not in tried
-        ]
+        seatable = self._seatable(call.service, service, able[0], tried)
         if not seatable:
             return Refusal(503, "no runner may be sent to now")
-        due_ms = (prompt.due_ms or float(service.due_ms)) - (now_ms - began_ms)
-        choices = Choices(self.hot(prompt.service), seatable, able[1], creed.settings.spill_share)
-        drawn = self.draws.draw(opening, choices, due_ms, now_ms)
+        due_ms = (call.due_ms or float(service.due_ms)) - (now_ms - began_ms)
+        choices = Choices(self.crowds.hot(call.service), seatable, able[1], creed.settings.spill_share)
+        drawn = self.draws.draw(opening, choices, due_ms * self.bounds.aim_share, now_ms)
+        if drawn is None and self.bounds.late_share > self.bounds.aim_share:
+            drawn = self.draws.earliest(opening, choices, now_ms)
+            if drawn.first_ms > (call.due_ms or float(service.due_ms)) * self.bounds.late_share and not tried:
+                return Refusal(429, "no runner can give a timely first token", drawn.first_ms - due_ms / 2)
         if drawn is None:
             return Refusal(429, "no runner can give a timely first token")
         return drawn, due_ms
 
+    def _seatable(self, name: str, service: Service, able: list[str], tried: set[str]) -> list[Seatable]:
+        """The able runners that may be sent to now and were not tried."""
+        up, runners = self.roster.up(), self.creed().runners
+        if not service.listed:
+            return [
+                Seatable(each, up[each].incarnation, runners[each].slots, runners[each].prefill_tokens_per_s, name)
+                for each in able
+                if each in up and each not in tried
+            ]
+        return [
+            Seatable(each, up[each].incarnation, up[each].listed.slots or service.slots, 0, name, service.memory_tokens)
+            for each in able
+            if each in up and each not in tried
+        ]
+
     async def forget_gone(self) -> None:
         """Forget incarnations that are long unlisted and carry nothing of ours."""
         while True:
@@ -182,13 +219,14 @@
             "pace": self.burdens.paces.spoken(now_ms),
             "leaving": self.roster.leaving(),
             "listAgeMs": self.roster.list_age_ms(),
-            "counts": self.called(),
+            "listMark": self.roster.mark,
+            "counts": self.crowds.called(),
             "vitals": self.duties.words(),
         }
 
-    def hear(self, beat: Message) -> None:
-        """What a peer's beat added."""
-        self.roster.hear_peer(beat["leaving"], beat["listAgeMs"])
+    def hear(self, beat: Message, since_ms: float) -> None:
+        """What a peer's answer to a beat of that moment added."""
+        self.roster.hear_peer(beat, since_ms)
         self.duties.hear(beat["vitals"])
         heard = self.member.heard_peers()
         self.burdens.hear_peers(heard, self.world.now_ms())
--- a/src/finchswitch/transit/platform.py
+++ b/src/finchswitch/transit/platform.py
@@ -6,13 +6,13 @@
 """
 
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Protocol
 
 import httpx
 
 from finchswitch.mishap import Mishap, MishapKind
 
-__all__ = ["Listed", "fetch_list", "read_list"]
+__all__ = ["Listed", "Lister", "SliceLister", "read_list"]
 
 
 @dataclass(frozen=True)
@@ -23,6 +23,13 @@
     incarnation: str
     address: str
     leaving: bool
+    service: str = ""  # what it serves, where the platform says so
+    slots: int = 0  # requests that it works on at the same time, where the platform says so
+
+
+class Lister(Protocol):
+    async def read(self, wait_ms: float) -> list[Listed]:
+        """Read the list once; raises a Mishap."""
 
 
 def read_list(raw: Any, peer: str) -> list[Listed]:
@@ -50,14 +57,19 @@
     return listed
 
 
-async def fetch_list(client: httpx.AsyncClient, address: str, wait_ms: float) -> list[Listed]:
-    """Poll the list once."""
-    url = f"http://{address}/apis/discovery.k8s.io/v1/endpointslices"
-    try:
-        response = await client.get(url, timeout=wait_ms / 1000)
-        response.raise_for_status()
-        return read_list(response.json(), address)
-    except httpx.HTTPError as error:
-        raise Mishap(MishapKind.SILENT, "list", address, repr(error)) from None
-    except ValueError as error:
-        raise Mishap(MishapKind.BROKEN, "list", address, str(error)) from None
+class SliceLister:
+    """Reads the EndpointSlices of a platform."""
+
+    def __init__(self, client: httpx.AsyncClient, address: str) -> None:
+        self._client, self._address = client, address
+
+    async def read(self, wait_ms: float) -> list[Listed]:
+        url = f"http://{self._address}/apis/discovery.k8s.io/v1/endpointslices"
+        try:
+            response = await self._client.get(url, timeout=wait_ms / 1000)
+            response.raise_for_status()
+            return read_list(response.json(), self._address)
+        except httpx.HTTPError as error:
+            raise Mishap(MishapKind.SILENT, "list", self._address, repr(error)) from None
+        except ValueError as error:
+            raise Mishap(MishapKind.BROKEN, "list", self._address, str(error)) from None
--- a/src/finchswitch/transit/prompt.py
+++ b/src/finchswitch/transit/prompt.py
@@ -1,61 +1,51 @@
-"""Reading a caller's request: whole and checked before any seat is thought of.
+"""Reading a caller's request in the product's own interface: whole and checked before any seat is thought of.
 
 Refusals here are final, ``not-run``, and come at once.
 """
 
 import json
-from dataclasses import dataclass
 from typing import Any
 
 import anyio
 from returns.result import Failure, Result, Success
 from starlette.requests import ClientDisconnect, Request
 
-from finchswitch.affinity import Opening, opening_of
+from finchswitch.affinity import opening_of
 from finchswitch.constants import BODY_MOST_BYTES, CALLER_STILL_MS, DUE_LEAST_MS, DUE_MOST_MS, REQUEST_ID_MOST
+from finchswitch.transit.dialect import Call, Refusal
 
-__all__ = ["Prompt", "Refusal", "read_prompt"]
+__all__ = ["read_body", "read_prompt"]
 
 
-@dataclass(frozen=True)
-class Refusal:
-    status: int
-    reason: str
-
-
-@dataclass(frozen=True)
-class Prompt:
-    request_id: str
-    service: str
-    repeatable: bool
-    due_ms: float | None
-    body: bytes
-    opening: Opening
+async def read_prompt(request: Request, fresh_id: str) -> Result[Call, Refusal]:
+    """The prompt, or why it is refused."""
+    read = await read_body(request, BODY_MOST_BYTES)
+    return read if isinstance(read, Failure) else check_prompt(dict(request.headers), read.unwrap(), fresh_id)
 
 
-async def read_prompt(request: Request, fresh_id: str) -> Result[Prompt, Refusal]:
-    """The prompt, or why it is refused."""
+async def read_body(request: Request, most_bytes: int) -> Result[bytes, Refusal]:
+    """A body of bounded size, from a caller that goes on sending."""
     body = b""
     try:
         with anyio.fail_after(CALLER_STILL_MS / 1000):
             async for part in request.stream():
                 body += part
-                if len(body) > BODY_MOST_BYTES:
-                    return Failure(Refusal(413, f"the body is over {BODY_MOST_BYTES} bytes"))
+                if len(body) > most_bytes:
+                    return Failure(Refusal(413, f"the body is over {most_bytes} bytes"))
     except ClientDisconnect:
         return Failure(Refusal(400, "the body was cut"))
     except TimeoutError:
         return Failure(Refusal(408, f"the body did not come within {CALLER_STILL_MS} ms"))
-    return check_prompt(dict(request.headers), body, fresh_id)
+    return Success(body)
 
 
-def check_prompt(headers: dict[str, str], body: bytes, fresh_id: str) -> Result[Prompt, Refusal]:
+def check_prompt(headers: dict[str, str], body: bytes, fresh_id: str) -> Result[Call, Refusal]:
     """Check headers and body.
 
     >>> check_prompt({}, b"{", "i").failure()
-    Refusal(status=400, reason='the body is not JSON')
+    Refusal(status=400, reason='the body is not JSON', after_ms=None)
     >>> check_prompt({"x-due-ms": "soon"}, b"{}", "i").failure()
-    Refusal(status=400, reason='x-due-ms: not a number of milliseconds from 50 to 120000')
+    Refusal(status=400, reason='x-due-ms: not a number of milliseconds from 50 to 120000', after_ms=None)
     """
     request_id = headers.get("x-request-id", fresh_id)
     if not 1 <= len(request_id) <= REQUEST_ID_MOST or not (request_id.isascii() and request_id.isprintable()):
@@ -78,7 +68,7 @@
         return Failure(Refusal(400, wrong))
     opening = opening_of(content["model"], content["messages"])
     due = float(due_ms) if due_ms is not None else None
-    return Success(Prompt(request_id, content["model"], repeatable == "yes", due, body, opening))
+    return Success(Call(request_id, content["model"], repeatable == "yes", opening, body, due))
 
 
 def _wrong(content: Any) -> str:
--- a/src/finchswitch/transit/proof.py
+++ b/src/finchswitch/transit/proof.py
@@ -19,7 +19,7 @@
 from finchswitch.constants import PROOF_WAIT_MS
 from finchswitch.mishap import Mishap, MishapKind
 
-__all__ = ["TICKET", "Permit", "RunnerProof", "Ticket"]
+__all__ = ["TICKET", "Permit", "PermitOnly", "RunnerProof", "Ticket"]
 
 
 @dataclass
@@ -31,6 +31,7 @@
     service: str
     digest: str
     runner: str
+    incarnation: str = ""
     generation: int = -1  # checked against this one; under 0 no byte of the request has left
     refused: bool = False
 
@@ -44,6 +45,18 @@
         """Whether a request may be put on a connection to this incarnation now; marks the ticket."""
 
 
+class PermitOnly:
+    """For runners that are named by each request itself and refuse one that is meant for another: only the permit."""
+
+    def __init__(self, incarnation: str, permit: Permit) -> None:
+        self._incarnation, self._permit = incarnation, permit
+
+    async def __call__(self, stream: ByteStream, address: str) -> None:
+        ticket = TICKET.get()
+        if ticket is not None and not self._permit.permits(self._incarnation, ticket):
+            raise Mishap(MishapKind.REFUSED, "permit", address, "may not be sent to any more")
+
+
 class RunnerProof:
     def __init__(self, runner: str, incarnation: str, permit: Permit) -> None:
         self._runner, self._incarnation, self._permit = runner, incarnation, permit
--- a/src/finchswitch/transit/roster.py
+++ b/src/finchswitch/transit/roster.py
@@ -1,30 +1,34 @@
 """The roster: the runners this node knows of from the platform's list, one entry an incarnation.
 
-Every node polls the list itself, with or without the core. Leaving is sticky for an incarnation and is also
-believed from any peer. A runner is sent to only while it is listed, not leaving, not down, and the list is not
-too old. Each incarnation has its own HTTP client, whose every connection proves the identity first.
+Every node may read the list, with or without the core; where it is shared, one reads it for all and the others read it
+themselves only when what they heard grows old. Leaving is sticky for an incarnation and is also believed from any peer.
+A runner is sent to only while it is listed, not leaving, not down, and the list is not too old. Each incarnation has
+its own connections, on which its identity is proven.
 """
 
+import hashlib
+import json
+from dataclasses import astuple
 from enum import Enum
+from typing import Any
 
 import httpx
 
+from finchswitch.bounds import Bounds
 from finchswitch.charts import Walker, load_chart
 from finchswitch.constants import (
     DOWN_MS,
     FORGET_MS,
-    LIST_POLL_MS,
-    LIST_UNKNOWN_MS,
     LIST_WAIT_MS,
-    PEER_SILENT_MS,
     PROOF_WAIT_MS,
     RUNNER_SILENT_MS,
+    SUSPECT_MS,
 )
 from finchswitch.logs import prefix
 from finchswitch.mishap import Mishap
-from finchswitch.transit.platform import Listed, fetch_list
-from finchswitch.transit.proof import Permit, RunnerProof
-from finchswitch.wire import World
+from finchswitch.transit.platform import Listed, Lister
+from finchswitch.transit.proof import Permit, PermitOnly, RunnerProof
+from finchswitch.wire import Message, World, reading
 
 __all__ = ["Known", "Roster", "RunnerState"]
 
@@ -49,49 +53,69 @@
 class Known:
     """One incarnation of a runner."""
 
-    def __init__(self, listed: Listed, world: World, permit: Permit) -> None:
+    def __init__(self, listed: Listed, world: World, permit: Permit, kept: bool) -> None:
+        self.listed = listed
         self.runner, self.incarnation, self.address = listed.runner, listed.incarnation, listed.address
         self.walker = Walker(_CHART, f"{listed.runner}/{listed.incarnation}")
         self.down_until_ms = 0.0
         self.listed_ms = world.now_ms()
-        timeout = httpx.Timeout(RUNNER_SILENT_MS / 1000, connect=PROOF_WAIT_MS / 1000)
+        self.heard_ms = -1e18  # when anything last came of it
+        self.failures = 0  # tries in a row that ended without an answer of its own
         proof = RunnerProof(listed.runner, listed.incarnation, permit)
-        fresh, kept = world.http_transport(proof, fresh=True), world.http_transport(proof)
-        self.client = httpx.AsyncClient(transport=fresh, timeout=timeout, trust_env=False)
-        self.reader = httpx.AsyncClient(transport=kept, timeout=timeout, trust_env=False)  # of vitals only
+        gate = PermitOnly(listed.incarnation, permit) if kept else proof
+        self.transport = world.http_transport(gate, fresh=not kept)
+        timeout = httpx.Timeout(RUNNER_SILENT_MS / 1000, connect=PROOF_WAIT_MS / 1000)
+        reader = world.http_transport(None if kept else proof)  # of vitals only
+        self.reader = httpx.AsyncClient(transport=reader, timeout=timeout, trust_env=False)
+
+    def heard(self, now_ms: float) -> None:
+        self.heard_ms, self.failures = now_ms, 0
 
 
 class Roster:
-    def __init__(self, world: World, platform: str, permit: Permit) -> None:
-        self._world, self._platform, self._permit = world, platform, permit
-        self._client = httpx.AsyncClient(transport=world.http_transport(), trust_env=False)
+    def __init__(self, world: World, lister: Lister, permit: Permit, bounds: Bounds, kept: bool = False) -> None:
+        self._world, self._lister, self._permit, self._bounds, self._kept = world, lister, permit, bounds, kept
         self.known: dict[str, Known] = {}
-        self._polled_ms = -1e18
+        self._rows: list[Listed] = []
+        self.mark = ""  # a digest of the list as held; nodes that show the same one hold the same list
+        self._read_ms = -1e18  # when what is held of the list was read, here or by a peer
         self._heard_ms = -1e18
         self._leaving_told: set[str] = set()
 
-    async def poll(self) -> None:
+    async def poll(self, reads: Any) -> None:
+        """Read the list again and again; ``reads()`` says whether it falls to this node to read for all."""
         while True:
+            if self._bounds.list_shared and not reads() and self.list_age_ms() < self._patience_ms():
+                await self._world.sleep(self._bounds.list_poll_ms / 4)
+                continue
             asked_ms = self._world.now_ms()
             try:
-                listed = await fetch_list(self._client, self._platform, LIST_WAIT_MS)
+                listed = await self._lister.read(LIST_WAIT_MS)
             except Mishap as mishap:
                 _log.warning("The list cannot be read. {}", mishap)
-                await self._world.sleep(LIST_POLL_MS / 10)
+                await self._world.sleep(self._bounds.list_poll_ms / 10)
                 continue
             self.take(listed)
-            self._polled_ms = asked_ms
-            await self._world.sleep(LIST_POLL_MS)
+            self._read_ms = asked_ms
+            await self._world.sleep(self._bounds.list_poll_ms)
+
+    def _patience_ms(self) -> float:
+        """How old a view by hearsay may grow before this node reads for itself; spread, so that not all do at once."""
+        return self._bounds.list_poll_ms * (2.0 + self._world.chance.random())
 
     def take(self, listed: list[Listed]) -> None:
         """Take one reading of the list."""
+        self._rows = listed
+        if self._bounds.list_shared:
+            rows = json.dumps([astuple(each) for each in listed])
+            self.mark = hashlib.sha256(rows.encode()).hexdigest()[:12]
         here = {each.incarnation for each in listed}
         for each in listed:
             known = self.known.get(each.incarnation)
             if known is not None and known.address != each.address and known.walker.state is RunnerState.LEAVING:
                 self._leaving_told.add(each.incarnation)
             if known is None or known.address != each.address:
-                known = self.known[each.incarnation] = Known(each, self._world, self._permit)
+                known = self.known[each.incarnation] = Known(each, self._world, self._permit, self._kept)
                 _log.info("Runner {}/{} is listed at {}.", each.runner, each.incarnation, each.address)
             known.listed_ms = self._world.now_ms()
             leaves = each.leaving or each.incarnation in self._leaving_told
@@ -106,10 +130,25 @@
         if after is not before:
             _log.info("Runner {}/{} is {}.", known.runner, known.incarnation, after.value)
 
-    def hear_peer(self, leaving: list[str], list_age_ms: float) -> None:
-        """A peer's answer: who it saw leaving, and how old its list was."""
-        self.hear_leaving(leaving)
-        self._heard_ms = max(self._heard_ms, self._world.now_ms() - list_age_ms - PEER_SILENT_MS)
+    def spoken(self, beat: Message) -> list[list[Any]]:
+        """The list as held, for a peer whose beat shows another and older one; empty otherwise."""
+        if not self._rows or beat.get("listMark", self.mark) == self.mark or beat["listAgeMs"] <= self.list_age_ms():
+            return []
+        return [list(astuple(each)) for each in self._rows]
+
+    def hear_peer(self, beat: Message, since_ms: float) -> None:
+        """A peer's answer to a beat sent at ``since_ms``: who it saw leaving, how old its list was, and the list."""
+        self.hear_leaving(beat["leaving"])
+        read_ms = since_ms - beat["listAgeMs"]
+        self._heard_ms = max(self._heard_ms, read_ms)
+        if not self._bounds.list_shared or read_ms <= self._read_ms:
+            return
+        if beat.get("list"):
+            with reading("list", beat["name"]):
+                self.take([Listed(*row) for row in beat["list"]])
+            self._read_ms = read_ms
+        elif self.mark and beat.get("listMark") == self.mark:
+            self._read_ms = read_ms
 
     def hear_leaving(self, leaving: list[str]) -> None:
         for incarnation in leaving:
@@ -122,11 +161,13 @@
         return sorted(each.incarnation for each in self.known.values() if each.walker.state is RunnerState.LEAVING)
 
     def list_age_ms(self) -> float:
-        return min(self._world.now_ms() - self._polled_ms, 1e9)
+        return min(self._world.now_ms() - self._read_ms, 1e9)
 
     def readable(self) -> bool:
         """Whether the list is known well enough to grant seats by it."""
-        return self._world.now_ms() - max(self._polled_ms, self._heard_ms) <= LIST_UNKNOWN_MS
+        if self._bounds.serves_alone:
+            return self._read_ms > -1e17
+        return self._world.now_ms() - max(self._read_ms, self._heard_ms) <= self._bounds.list_unknown_ms
 
     def up(self) -> dict[str, Known]:
         """Runners that may be sent to now, by name."""
@@ -136,17 +177,24 @@
         fit = [k for k in self.known.values() if k.walker.state is RunnerState.UP and k.down_until_ms <= now_ms]
         return {each.runner: each for each in fit}
 
+    def serving(self, service: str) -> list[str]:
+        """Names of the listed runners that the platform says serve it, whether up now or not."""
+        listed = (RunnerState.UP, RunnerState.LEAVING)
+        return sorted(
+            {k.runner for k in self.known.values() if k.listed.service == service and k.walker.state in listed}
+        )
+
     def long_gone(self) -> list[str]:
         """Incarnations that the list has not shown for long."""
         now_ms = self._world.now_ms()
         return [inc for inc, known in self.known.items() if now_ms - known.listed_ms > FORGET_MS]
 
     async def forget(self, incarnation: str) -> None:
-        """Drop an incarnation and its client; that it was leaving stays known."""
+        """Drop an incarnation and its connections; that it was leaving stays known."""
         known = self.known.pop(incarnation)
         if known.walker.state is RunnerState.LEAVING:
             self._leaving_told.add(incarnation)
-        await known.client.aclose()
+        await known.transport.aclose()
         await known.reader.aclose()
 
     def sendable(self, incarnation: str) -> bool:
@@ -157,3 +205,9 @@
     def down(self, known: Known, why: str) -> None:
         known.down_until_ms = self._world.now_ms() + DOWN_MS
         _log.info("Runner {} is passed over for now. {}", known.runner, why)
+
+    def suspect(self, known: Known, why: str) -> None:
+        """A try ended without an answer: passed over for a moment, and longer each time until something comes of it."""
+        known.failures += 1
+        known.down_until_ms = self._world.now_ms() + min(DOWN_MS, SUSPECT_MS * 2 ** (known.failures - 1))
+        _log.info("Runner {} is passed over for a moment. {}", known.runner, why)
--- a/src/finchswitch/transit/seat.py
+++ b/src/finchswitch/transit/seat.py
@@ -28,18 +28,19 @@
         self._world, self._drawn, self._burdens, self._beliefs = world, drawn, burdens, beliefs
         self._walker = Walker(_CHART, drawn.runner.runner)
         self._granted_ms = world.now_ms()
-        ms_a_token = 1000 / drawn.runner.prefill_tokens_per_s
-        burdens.take(self, drawn.runner.incarnation, drawn.prefill_tokens, ms_a_token, self._granted_ms)
+        burdens.take(self, drawn.runner.incarnation, drawn.prefill_tokens, drawn.ms_a_token, self._granted_ms)
         beliefs.granted(drawn.runner.incarnation, drawn.opening)
 
     def begun(self, weights: str) -> None:
         """The first piece came: the runner holds the opening now, under these weights."""
         self._walker.take(SeatEvent.BEGIN)
         incarnation, now_ms = self._drawn.runner.incarnation, self._world.now_ms()
-        self._burdens.begun(self, incarnation, now_ms)
+        learned = "" if self._drawn.runner.prefill_tokens_per_s else self._drawn.runner.service
+        self._burdens.begun(self, incarnation, now_ms, learned)
         self._beliefs.answered(incarnation, weights)
         self._beliefs.settled(incarnation, self._drawn.opening.digest)
-        self._beliefs.sent(incarnation, self._drawn.opening.digest, now_ms)
+        opening, most_tokens = self._drawn.opening, self._drawn.runner.memory_tokens
+        self._beliefs.sent(incarnation, opening.digest, now_ms, opening.opening_tokens, most_tokens)
 
     def free(self) -> None:
         incarnation, now_ms = self._drawn.runner.incarnation, self._world.now_ms()
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -12,9 +12,10 @@
 import finchswitch.rehearsal.machine
 import finchswitch.rehearsal.theatre
 import finchswitch.relay.news
-import finchswitch.transit.attempt
 import finchswitch.transit.call
+import finchswitch.transit.dialect
 import finchswitch.transit.duties
+import finchswitch.transit.own
 import finchswitch.transit.proof
 import finchswitch.transit.roster
 import finchswitch.transit.tries
@@ -62,9 +63,9 @@
 def with_blind_repeats(patch):
     run = finchswitch.transit.call._run
 
-    async def repeating(node, prompt, send):
-        object.__setattr__(prompt, "repeatable", True)
-        await run(node, prompt, send)
+    async def repeating(node, dialect, call, send):
+        object.__setattr__(call, "repeatable", True)
+        return await run(node, dialect, call, send)
 
     patch.setattr(finchswitch.transit.call, "_run", repeating)
 
@@ -91,30 +92,30 @@
 
 
 def without_budget(patch):
-    patch.setattr(finchswitch.transit.tries.Tries, "take", lambda self, share, now_ms: True)
+    patch.setattr(finchswitch.transit.tries.Tries, "take", lambda self, share, now_ms, service, floor: True)
 
 
 def with_false_not_run(patch):
-    begin = finchswitch.transit.attempt.TryMishap.__init__
+    begin = finchswitch.transit.dialect.TryMishap.__init__
 
     def hopeful(self, fate, step, peer, reason):
-        begin(self, finchswitch.transit.attempt.Fate.NOT_RUN, step, peer, reason)
+        begin(self, finchswitch.transit.dialect.Fate.NOT_RUN, step, peer, reason)
 
-    patch.setattr(finchswitch.transit.attempt.TryMishap, "__init__", hopeful)
+    patch.setattr(finchswitch.transit.dialect.TryMishap, "__init__", hopeful)
 
 
 def without_waiting_for_the_end(patch):
-    events = finchswitch.transit.attempt._events
+    events = finchswitch.transit.own._events
 
     async def trusting(response, known):
         try:
             async for content in events(response, known):
                 yield content
-        except (finchswitch.transit.attempt.TryMishap, httpx.HTTPError):
+        except (finchswitch.transit.dialect.TryMishap, httpx.HTTPError):
             return
 
-    patch.setattr(finchswitch.transit.attempt, "_events", trusting)
-    patch.setattr(finchswitch.transit.attempt, "_finishes", lambda content: True)
+    patch.setattr(finchswitch.transit.own, "_events", trusting)
+    patch.setattr(finchswitch.transit.own, "_finishes", lambda content: True)
 
 
 def with_falling_news(patch):
@@ -153,7 +154,7 @@
 
 
 def without_counting_pieces(patch):
-    patch.setattr(finchswitch.transit.attempt, "_follows", lambda number, before: True)
+    patch.setattr(finchswitch.transit.own, "_follows", lambda number, before: True)
 
 
 def without_409(patch):
