--- a/src/finchswitch/kinship/member.py
+++ b/src/finchswitch/kinship/member.py
@@ -230,8 +230,9 @@
         self.peers.setdefault(beat["name"], beat)
 
     def heard_peers(self) -> list[Message]:
+        """The last answers of peers that answered lately; one that was only met has not answered yet."""
         now_ms = self._world.now_ms()
-        return [beat for name, beat in self.peers.items() if self._hears(name, now_ms)]
+        return [beat for name, beat in self.peers.items() if "heardMs" in beat and self._hears(name, now_ms)]
 
     async def leave(self) -> None:
         """End the session cleanly, at every control node that may hold it."""
--- a/src/finchswitch/transit/call.py
+++ b/src/finchswitch/transit/call.py
@@ -129,6 +129,7 @@
     ticket = Ticket(call.request_id, call.repeatable, call.service, call.opening.digest, drawn.runner.runner)
     limit_ms = call.limit_ms or float(node.creed().settings.answer_most_ms)
     left_ms = began_ms + limit_ms - node.world.now_ms()
+    reason = "longer than its caller waits" if call.limit_ms else "longer than answerMostMs allows"
     try:
         with anyio.fail_after(left_ms / 1000):
             async with aclosing(answer_of(node, dialect, known, call, ticket, due_ms, left_ms, flow.at)) as answer:
@@ -145,7 +146,7 @@
                         flow.at = piece.at or flow.at
                         await flow.go_on(piece.data)
     except TimeoutError:
-        raise TryMishap(Fate.UNKNOWN, "stream", known.runner, "longer than anybody waits for it") from None
+        raise TryMishap(Fate.UNKNOWN, "stream", known.runner, reason) from None
     finally:
         seat.free()
     node.vitals["complete"] += 1
--- a/src/finchswitch/transit/platform.py
+++ b/src/finchswitch/transit/platform.py
@@ -38,7 +38,7 @@
     >>> point = {"addresses": ["127.0.0.1"], "conditions": {"ready": True},
     ...          "targetRef": {"name": "r1", "uid": "u1"}}
     >>> read_list({"items": [{"ports": [{"port": 80}], "endpoints": [point]}]}, "platform")
-    [Listed(runner='r1', incarnation='u1', address='127.0.0.1:80', leaving=False)]
+    [Listed(runner='r1', incarnation='u1', address='127.0.0.1:80', leaving=False, service='', slots=0)]
     """
     listed = []
     try:
