Silent runners are watched, a stop keeps its door, homes are left only when it pays

Ruled out: too little budget, slots. Change: a runner is doubted only when nothing at all came from it; the door closes last; pyserde left the start (checks are our own already), as did the client library's command line; a prompt waits for its home three times as long as its opening takes to read; a node that came back trusts homes.

--- a/src/finchswitch/accord/change.py
+++ b/src/finchswitch/accord/change.py
@@ -15,7 +15,7 @@
 from finchswitch.accord.document import Document, digest_of, succeed
 from finchswitch.constants import (
     ACCEPT_WAIT_MS,
-    CHANGE_MOST_BYTES,
+    CHANGE_WORDED_MOST_BYTES,
     CHANGE_WAIT_MS,
     CREED_PART,
     DELIVERY_LOOK_MS,
@@ -50,8 +50,8 @@
     wrong = _shape(change)
     if wrong:
         return _answer(422, wrong=wrong)
-    if len(json.dumps(change)) > CHANGE_MOST_BYTES:
-        return _answer(413, reason=f"a change may have {CHANGE_MOST_BYTES} bytes")
+    if len(json.dumps(change)) > CHANGE_WORDED_MOST_BYTES:
+        return _answer(413, reason=f"a change may have {CHANGE_WORDED_MOST_BYTES} bytes as the fleet keeps it")
     until_ms = council.world.now_ms() + OWNER_WAIT_MS
     while True:
         owner, _ = council.owner_of(CREED_PART, council.world.now_ms())
--- a/src/finchswitch/accord/document.py
+++ b/src/finchswitch/accord/document.py
@@ -66,8 +66,13 @@
 
 
 def shrink(base: Document, following: Document) -> Document:
+    """What leads from one document to the next: edits, or the whole body where edits would lose its order."""
     rest = {name: value for name, value in following.items() if name != "body"}
-    return {"base": base["step"], "rest": rest, "edits": edits_between(base["body"], following["body"])}
+    edits = edits_between(base["body"], following["body"])
+    grown = apply_edits(base["body"], edits).unwrap() if edits else base["body"]
+    if any(list(entries) != list(grown.get(kind, {})) for kind, entries in following["body"].items()):
+        return {"base": base["step"], "rest": rest, "body": following["body"]}
+    return {"base": base["step"], "rest": rest, "edits": edits}
 
 
 def grow(base: Document, delta: Document) -> Document:
@@ -80,6 +85,8 @@
     """
     if delta["base"] != base["step"]:
         raise Mishap(MishapKind.STALE, "grow", base["part"], f"base {delta['base']} is not held")
+    if "body" in delta:
+        return {**delta["rest"], "body": delta["body"]}
     body = apply_edits(base["body"], delta["edits"]).unwrap() if delta["edits"] else base["body"]
     return {**delta["rest"], "body": body}
 
--- a/src/finchswitch/affinity/beliefs.py
+++ b/src/finchswitch/affinity/beliefs.py
@@ -22,6 +22,7 @@
         self._coming: dict[tuple[str, str], int] = {}
         self._large: dict[str, OrderedDict[str, None]] = {}
         self._told: set[tuple[str, str]] = set()
+        self.trusting_until_ms = -1e18  # a node that came back to a fleet takes homes to hold what they own until then
 
     def granted(self, incarnation: str, opening: Opening) -> None:
         """A prompt is on its way; what follows it there finds the opening prefilled, or waits for the same prefill."""
--- a/src/finchswitch/affinity/draw.py
+++ b/src/finchswitch/affinity/draw.py
@@ -13,7 +13,7 @@
 from finchswitch.affinity.burden import Burdens
 from finchswitch.affinity.homes import home_order, shifted
 from finchswitch.affinity.opening import Opening
-from finchswitch.constants import COPY_SHARE, SECOND_HOMES, TOLD_TOKENS
+from finchswitch.constants import COPY_SHARE, READ_AGAIN_SHARE, SECOND_HOMES, TOLD_TOKENS
 
 __all__ = ["Choices", "Drawn", "Draws", "Seatable", "Way"]
 
@@ -67,9 +67,13 @@
         self._beliefs, self._burdens, self._chance = beliefs, burdens, chance
 
     def estimate(self, opening: Opening, runner: Seatable, way: Way, now_ms: float) -> Drawn:
+        return self._estimate(opening, runner, way, now_ms, False)
+
+    def _estimate(self, opening: Opening, runner: Seatable, way: Way, now_ms: float, home: bool) -> Drawn:
         """When the first token would come: waiting for a slot, others' prefill, then this prompt's own."""
         seats = self._burdens.seats(runner.incarnation, now_ms)
-        cold = not self._beliefs.holds(runner.incarnation, opening.digest, now_ms)
+        trusted = home and now_ms < self._beliefs.trusting_until_ms
+        cold = not trusted and not self._beliefs.holds(runner.incarnation, opening.digest, now_ms)
         tokens = opening.own_tokens + (opening.opening_tokens if cold else 0)
         waiting = max(0.0, seats + 1 - runner.slots)
         wait_ms = waiting * self._burdens.seat_ms(runner.incarnation) / runner.slots
@@ -81,6 +85,15 @@
         estimated_ms = first_ms + (wait_ms + tokens * ms_a_token) * pace + backlog_ms
         return Drawn(runner, opening, way, tokens, estimated_ms, ms_a_token)
 
+    def reads_again(self, opening: Opening, drawn: Drawn, now_ms: float) -> bool:
+        """Whether a runner whose speed is learned would read what its home most likely keeps."""
+        kept = self._beliefs.holds(drawn.runner.incarnation, opening.digest, now_ms)
+        return not drawn.runner.prefill_tokens_per_s and not kept
+
+    def _patience_ms(self, opening: Opening, other: Drawn) -> float:
+        """How much later than due a prompt waits for its home before its opening is read a second time elsewhere."""
+        return READ_AGAIN_SHARE * opening.opening_tokens * other.ms_a_token
+
     def earliest(self, opening: Opening, choices: Choices, now_ms: float) -> Drawn:
         """The runner whose first token is expected first."""
         others = [self.estimate(opening, each, Way.TIMELY, now_ms) for each in choices.runners]
@@ -94,6 +107,8 @@
         if first.first_ms <= due_ms:
             return first
         timely = self.earliest(opening, choices, now_ms)
+        if self.reads_again(opening, timely, now_ms) and first.first_ms <= due_ms + self._patience_ms(opening, timely):
+            return first
         return timely if timely.first_ms <= due_ms else None
 
     def _first(self, opening: Opening, choices: Choices, now_ms: float) -> Drawn:
@@ -120,7 +135,7 @@
         for name in order[: 1 + SECOND_HOMES]:
             if self._share(by_name[name], now_ms) < choices.spill_share:
                 way = Way.HOME if name == owned[0] else Way.SPILL
-                return self.estimate(opening, by_name[name], way, now_ms)
+                return self._estimate(opening, by_name[name], way, now_ms, way is Way.HOME)
         spilled = [self.estimate(opening, by_name[name], Way.SPILL, now_ms) for name in order[: 1 + SECOND_HOMES]]
         return min(spilled, key=lambda each: each.first_ms)
 
--- a/src/finchswitch/constants.py
+++ b/src/finchswitch/constants.py
@@ -14,7 +14,7 @@
 SHELF_READS: Final = 1  # a process that finds a higher format ends and leaves the folder as it is
 
 # Wire
-FRAME_MOST_BYTES: Final = 8 * 1024 * 1024  # a configuration of some ten thousand bindings, with room
+FRAME_MOST_BYTES: Final = 24 * 1024 * 1024  # a configuration of some ten thousand bindings, with room
 FRAME_DIGITS_MOST: Final = 8  # enough digits for FRAME_MOST_BYTES; a longer length is a broken frame
 DIAL_WAIT_MS: Final = 300  # a live machine in the same hall answers in a few ms; dark ones must not hold us
 ASK_WAIT_MS: Final = 500  # under the failover second, above a slow sync
@@ -43,7 +43,8 @@
 CHANGE_WAIT_MS: Final = 3_500  # a forwarded change: commit plus delivery, with room for one failover step
 DELIVERY_WAIT_MS: Final = 1_900  # the wait for every node's word before 202; the brief allows about 2 s
 OWNER_WAIT_MS: Final = 1_500  # how long a change waits for an owner to stand before 503
-CHANGE_MOST_BYTES: Final = 4 * 1024 * 1024  # half a frame: the document holds the change beside the rest
+CHANGE_MOST_BYTES: Final = 4 * 1024 * 1024  # as its operator sends it
+CHANGE_WORDED_MOST_BYTES: Final = 3 * CHANGE_MOST_BYTES  # half a frame: beside the rest, and beside how it was sent
 SHELF_SLOW_MS: Final = 400  # a sync slower than this is a refusal to vote
 SHELF_KEEP: Final = 2  # versions kept of one file; only the newest counts, the other is for people
 
@@ -66,6 +67,9 @@
 PROOF_WAIT_MS: Final = 1_000  # connecting and proving an identity
 RUNNER_SILENT_MS: Final = 10_000  # between pieces; a runner dark for this long is a mishap
 FORGET_MS: Final = 60_000  # what is unlisted or silent this long is forgotten, so that memory stays bounded
+WATCH_MS: Final = 50  # between two looks at the tries under way; short against any aim
+SILENCE_LEAST_MS: Final = 300  # a runner that sends nothing for less is only working
+SILENCE_SHARE: Final = 1.5  # of what was expected: past it a silent runner is doubted
 SUSPECT_MS: Final = 400  # one that answered nothing once is passed over this long, then twice as long each time
 DOWN_MS: Final = 2_000  # a runner that refused or broke connections is passed over this long
 FIRST_WAIT_SHARE: Final = 2.0  # of the due: how long a first token is awaited past the estimate that met it
@@ -80,6 +84,9 @@
 HOT_LEAVE_SHARE: Final = 0.2  # and below which it stops (hysteresis, ours)
 COUNTS_MOST: Final = 512  # openings counted a service; bounded memory
 BELIEF_MS: Final = 120_000  # how long a prompt sent is believed kept (ours)
+TRUST_MS: Final = (
+    20_000  # a node that came back takes homes to hold what they own this long, having no sight of its own
+)
 TOLD_TOKENS: Final = 1_000  # openings from this size are told to peers; smaller ones cost less than the telling
 COPY_SHARE: Final = 0.1  # of a large hot opening's draws that may copy it; a copy costs a second of prefill
 TOLD_MOST: Final = 16  # of them a runner; about what its memory holds
@@ -88,6 +95,7 @@
 SPILL_BURDEN_SHARE: Final = 0.9  # of a home's slots in use, past which its openings spill (ours)
 CHARS_A_TOKEN: Final = 4  # rough length of a token, for prefill estimates
 PREFILL_TOKENS_A_S: Final = 8_000  # default speed of prefill, until the configuration says otherwise
+READ_AGAIN_SHARE: Final = 3.0  # of an opening's reading time: how long it waits for its home rather than be read twice
 SECOND_HOMES: Final = 2  # further homes tried past an overloaded one; few, so that an opening does not smear
 HEAD_SAME_MS: Final = 50  # two grants nearer than this are the same seat, told over differing ways
 SEAT_MS: Final = 2_000  # how long a seat is thought to last before any was seen
@@ -121,6 +129,8 @@
 SENT_MOST: Final = 100_000  # of them a node; ten minutes at ten times a node's share of today's traffic
 
 # Stopping
+STOP_LOOK_MS: Final = 20  # between two looks at whether a stopping node has anything under way
+STOP_CLOSE_MS: Final = 300  # a stopping node's connections close within this once nothing is under way
 STOP_SETTLE_MS: Final = 500  # after unready and before the door closes: the platform looks again meanwhile
 ANSWER_MOST_MS: Final = 600_000  # default bound of one answer; a summary of a large file takes a few minutes
 ANSWER_LEAST_MS: Final = 10_000  # a bound under this would cut ordinary answers
--- a/src/finchswitch/creed/check.py
+++ b/src/finchswitch/creed/check.py
@@ -10,7 +10,6 @@
 from typing import Any
 
 from returns.result import Failure, Result, Success
-from serde import SerdeError, from_dict
 
 from finchswitch.constants import (
     ANSWER_LEAST_MS,
@@ -93,21 +92,18 @@
         return [f"{where}: not an object"]
     fields = {written(each.name): each for each in dataclasses.fields(shape)}
     wrong = [f"{where}.{name}: no such field" for name in value if name not in fields]
-    content = dict(value)
+    content: dict[str, Any] = {}
     for name, each in fields.items():
         if name not in value:
             needed = each.default is dataclasses.MISSING and each.default_factory is dataclasses.MISSING
             wrong += [f"{where}.{name}: missing"] if needed else []
         elif each.type is float and type(value[name]) is int:
-            content[name] = float(value[name])
-        elif not _fits(value[name], each.type):
+            content[each.name] = float(value[name])
+        elif _fits(value[name], each.type):
+            content[each.name] = each.type(value[name]) if each.type in (PlanStep, Repeat) else value[name]
+        else:
             wrong.append(f"{where}.{name}: {json.dumps(value[name])[:60]} is not {_KINDS_OF_VALUE[each.type]}")
-    if wrong:
-        return wrong
-    try:
-        return from_dict(shape, content)
-    except SerdeError as error:
-        return [f"{where}: {' '.join(str(error).split())}"]
+    return wrong or shape(**content)
 
 
 def written(name: str) -> str:
--- a/src/finchswitch/platform/calls.py
+++ b/src/finchswitch/platform/calls.py
@@ -39,6 +39,7 @@
     b"content-length",
     b"expect",
 }
+_PROMISES = (408, 429, 503)  # said to a client they mean 'not run', which only a runner's own word may say
 _REWORDED = {b"x-deadline-remaining", b"x-target-instance", b"x-urgency-level"}
 
 
@@ -143,7 +144,7 @@
         whole = response.status_code < 300 and "x-server-seal" in headers and "content-encoding" not in headers
         if response.status_code < 300 and not whole:
             raise TryMishap(Fate.UNKNOWN, "answer", known.runner, "a success without its seal")
-        if response.status_code >= 500 and (call.repeatable or call.resumable):
+        if response.status_code in _PROMISES or (response.status_code >= 500 and (call.repeatable or call.resumable)):
             raise TryMishap(Fate.UNKNOWN, "answer", known.runner, f"status {response.status_code}")
         kept = [(name, value) for name, value in headers.raw if name.lower() not in _HOP]
         return Head(headers.get("x-weight-versions", ""), response.status_code, kept, failed=not whole)
--- a/src/finchswitch/platform/settings.py
+++ b/src/finchswitch/platform/settings.py
@@ -113,7 +113,7 @@
         tries_window_ms=1000 * bound("budget_window_s"),
         tries_fleet_floor=0.75 * bound("budget_extra"),
         tries_share=0.75 * bound("retry_budget_ratio"),
-        stop_settle_ms=0.3 * 1000 * bound("grace_s"),
+        stop_settle_ms=0.4 * 1000 * bound("grace_s"),
         grace_ms=0.9 * 1000 * bound("grace_s"),
         aim_share=0.8,
         late_share=2.5,
--- a/src/finchswitch/programs/transit.py
+++ b/src/finchswitch/programs/transit.py
@@ -7,7 +7,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from finchswitch.constants import CALLER_STILL_MS
+from finchswitch.constants import CALLER_STILL_MS, STOP_CLOSE_MS, STOP_LOOK_MS
 from finchswitch.logs import prefix
 from finchswitch.programs.startup import Startup
 from finchswitch.transit.asks import run_node
@@ -49,16 +49,20 @@
 
 
 async def stop_node(node: Node, stop: anyio.Event, closed: anyio.Event) -> None:
-    """Unready first, then no seats, then the streams under way to their end, then the leave."""
+    """Unready first, then no seats, then the streams under way to their end, then the door and the leave."""
     began_ms, bounds = node.world.now_ms(), node.bounds
     node.stopping = True
     await node.world.sleep(bounds.stop_settle_ms)
     node.member.stop()
-    stop.set()
     most_ms: float = node.creed().settings.answer_most_ms + 2 * CALLER_STILL_MS
     if bounds.grace_ms is not None:
         most_ms = began_ms + bounds.grace_ms - node.world.now_ms()
     with anyio.move_on_after(most_ms / 1000):
+        while node.underway:
+            await node.world.sleep(STOP_LOOK_MS)
+        most_ms = STOP_CLOSE_MS if bounds.grace_ms is not None else most_ms
+    stop.set()
+    with anyio.move_on_after(most_ms / 1000 if not node.underway else STOP_CLOSE_MS / 1000):
         await closed.wait()
     await node.member.leave()
     _log.info("Left.")
--- a/src/finchswitch/transit/asks.py
+++ b/src/finchswitch/transit/asks.py
@@ -18,6 +18,7 @@
         node.group.start_soon(node.follower.follow)
         node.group.start_soon(node.roster.poll, node.duties.reads_list)
         node.group.start_soon(node.duties.tend)
+        node.group.start_soon(node.watch.look)
         node.group.start_soon(node.forget_gone)
         async for asked in inbox:
             if asked.kind != GONE:
--- a/src/finchswitch/transit/attempt.py
+++ b/src/finchswitch/transit/attempt.py
@@ -83,13 +83,7 @@
 
 
 def _patience(call: Call, due_ms: float, silent_ms: float) -> tuple[float, float]:
-    """How long a first piece and a next one are awaited.
-
-    An answer that may be taken up elsewhere is given up while its caller still waits; any other one is waited for, as
-    silence does not show that a runner stopped.
-    """
-    if call.resumable and call.due_ms is not None and call.gap_ms is not None:
-        return 1.5 * call.due_ms, max(3 * call.gap_ms, call.due_ms)
+    """How long a first piece and a next one are awaited; silence alone does not show that a runner stopped."""
     if call.limit_ms is not None:
         return silent_ms, silent_ms
     return due_ms * FIRST_WAIT_SHARE, silent_ms
--- a/src/finchswitch/transit/call.py
+++ b/src/finchswitch/transit/call.py
@@ -104,10 +104,10 @@
                 node.sent.take_back(call.request_id)
             node.missed(drawn.runner.incarnation, mishap)
         taken_up = call.resumable and (flow.head is None or (flow.at is not None and not flow.head.failed))
-        repeats = taken_up if flow.head is not None else fate is Fate.NOT_RUN or call.repeatable
-        if not repeats or len(tried) >= (call.most_runners or len(tried) + 1):
+        repeats = taken_up if flow.head is not None else fate is Fate.NOT_RUN or call.repeatable or taken_up
+        if not repeats or last.step == "limit" or len(tried) >= (call.most_runners or len(tried) + 1):
             break
-        if not node.may_try_again(call.service):
+        if last.step != "silence" and not node.may_try_again(call.service):
             break
     if flow.head is None:
         refusal = Refusal(503 if fate is Fate.NOT_RUN else 502, reason)
@@ -130,25 +130,31 @@
     limit_ms = call.limit_ms or float(node.creed().settings.answer_most_ms)
     left_ms = began_ms + limit_ms - node.world.now_ms()
     reason = "longer than its caller waits" if call.limit_ms else "longer than answerMostMs allows"
-    try:
-        with anyio.fail_after(left_ms / 1000):
+    with anyio.move_on_after(left_ms / 1000) as scope:
+        watched, begun = node.watch.begin(known, call, drawn.first_ms, scope), False
+        try:
             async with aclosing(answer_of(node, dialect, known, call, ticket, due_ms, left_ms, flow.at)) as answer:
-                begun = False
                 async for head, piece in answer:
                     if not begun:
                         begun = True
                         seat.begun(head.weights)
+                        if flow.head is not None and (head.failed or head.status != flow.head.status):
+                            raise TryMishap(Fate.UNKNOWN, "answer", known.runner, "does not take the answer up")
                         if flow.head is None:
                             status, headers = dialect.opened(call, head, ticket, drawn.way.value)
                             await flow.begin(head, status, headers)
+                    watched.heard(node.world.now_ms())
                     if piece is not None:
                         flow.pieces += 1
                         flow.at = piece.at or flow.at
                         await flow.go_on(piece.data)
-    except TimeoutError:
-        raise TryMishap(Fate.UNKNOWN, "stream", known.runner, reason) from None
-    finally:
-        seat.free()
+        finally:
+            node.watch.end(watched)
+            seat.free()
+    if watched.given_up:
+        raise TryMishap(Fate.UNKNOWN, "silence", known.runner, "nothing came from it")
+    if scope.cancelled_caught:
+        raise TryMishap(Fate.UNKNOWN, "limit", known.runner, reason)
     node.vitals["complete"] += 1
     await flow.go_on(b"", more=False)
 
--- a/src/finchswitch/transit/node.py
+++ b/src/finchswitch/transit/node.py
@@ -13,7 +13,7 @@
 from finchswitch.accord.document import part_of
 from finchswitch.affinity import Beliefs, Burdens, Choices, Drawn, Draws, Seatable, owners
 from finchswitch.bounds import Bounds
-from finchswitch.constants import CREED_PART, FORGET_MS, TRIES_FLOOR
+from finchswitch.constants import CREED_PART, FORGET_MS, TRIES_FLOOR, TRUST_MS
 from finchswitch.creed import Creed, Service, read_creed
 from finchswitch.creed.routes import RouteTable
 from finchswitch.kinship.member import Member
@@ -30,6 +30,7 @@
 from finchswitch.transit.seat import Seat
 from finchswitch.transit.sent import Sent
 from finchswitch.transit.tries import Tries
+from finchswitch.transit.watch import Watch
 from finchswitch.wire import Book, Message, World
 
 __all__ = ["Node"]
@@ -61,13 +62,13 @@
         self.roster = Roster(world, lister(client, startup.platform), self, self.bounds, self.dialect.kept)
         self.beliefs, self.burdens = Beliefs(), Burdens()
         self.draws = Draws(self.beliefs, self.burdens, world.chance)
-        self.crowds = Crowds(self)
+        self.crowds, self.watch = Crowds(self), Watch(self)
         self.tries, self.duties = Tries(self.bounds.tries_window_ms), Duties(self)
         self.underway: set[str] = set()
         self.sent = Sent()
         self.vitals = dict.fromkeys(("asked", "complete", "broken", "not-run", "unknown", "granted"), 0)
         self.ways: dict[str, int] = {}
-        self.stopping = False
+        self.stopping, self._granted = False, False
         self._creed: tuple[int, Any, Creed] = (-1, {}, Creed())
         self._table = RouteTable(Creed())
         self.bound: dict[str, str] = {}  # the binding of each service; a checked configuration has one at the most
@@ -106,11 +107,15 @@
             return
         if mishap.step == "connect":
             self.roster.down(known, mishap.reason)
-        elif self.dialect.kept and mishap.step != "permit":
+        elif self.dialect.kept and mishap.step not in ("permit", "silence", "limit"):
             self.roster.suspect(known, mishap.reason)
 
     def may_grant(self) -> bool:
-        return self.member.may_grant()
+        may = self.member.may_grant()
+        if may and not self._granted and self.generation() > 1:
+            self.beliefs.trusting_until_ms = self.world.now_ms() + TRUST_MS
+        self._granted = self._granted or may
+        return may
 
     def ready(self) -> bool:
         """Whether callers may be handed to this node."""
--- a/src/finchswitch/transit/own.py
+++ b/src/finchswitch/transit/own.py
@@ -11,7 +11,6 @@
 
 import httpx
 from httpx_sse import EventSource, SSEError
-from prometheus_client.parser import text_string_to_metric_families
 from returns.result import Failure, Result, Success
 from starlette.requests import Request
 
@@ -145,6 +144,8 @@
     >>> read_running("# TYPE vllm:num_requests_running gauge\\nvllm:num_requests_running 3.0\\n", "r")
     3.0
     """
+    from prometheus_client.parser import text_string_to_metric_families  # only where vitals come in this form
+
     try:
         for family in text_string_to_metric_families(text):
             if family.name == "vllm:num_requests_running":
