--- a/src/finchswitch/accord/change.py
+++ b/src/finchswitch/accord/change.py
@@ -15,8 +15,8 @@
 from finchswitch.accord.document import Document, digest_of, succeed
 from finchswitch.constants import (
     ACCEPT_WAIT_MS,
-    CHANGE_WORDED_MOST_BYTES,
     CHANGE_WAIT_MS,
+    CHANGE_WORDED_MOST_BYTES,
     CREED_PART,
     DELIVERY_LOOK_MS,
     OWNER_WAIT_MS,
