--- a/tests/test_shared_state.py
+++ b/tests/test_shared_state.py
@@ -7,7 +7,7 @@
 
 import finchswitch.shelf
 from finchswitch.accord.acceptor import Acceptor
-from finchswitch.accord.document import founding_document, shrink, succeed
+from finchswitch.accord.document import founding_document, grow, shrink, succeed
 from finchswitch.accord.store import Store, StoreState
 from finchswitch.mishap import Mishap, MishapKind
 from finchswitch.rehearsal.disk import SimDisk
@@ -144,3 +144,10 @@
         Store(world, disk, "n")
     assert mishap.value.kind is MishapKind.NEWER and "part-1" in str(mishap.value)
     assert {file: file.read_bytes() for file in sorted(tmp_path.rglob("*.json"))} == before
+
+
+@pytest.mark.parametrize("names", [["b", "a", "c"], ["a", "x", "b", "c"], ["c"], ["a", "b", "c", "d"]])
+def test_a_document_that_travels_as_a_delta_keeps_the_order_of_its_entries(names):
+    held = succeed(founding_document("f", "creed", GROUP), {"runners": dict.fromkeys("abc", {})}, None, GROUP)
+    following = succeed(held, {"runners": {name: {} for name in names}}, ["c1", "d", 1], GROUP)
+    assert list(grow(held, shrink(held, following))["body"]["runners"]) == names
