--- a/src/finchswitch/programs/cli.py
+++ b/src/finchswitch/programs/cli.py
@@ -4,6 +4,7 @@
 4 committed but not everywhere yet, 5 fate unknown.
 """
 
+import json
 from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Annotated, Any
@@ -143,5 +144,29 @@
     raise typer.Exit(run_measure(trial))
 
 
+@app.command()
+def verify(
+    data: Annotated[Path, typer.Argument(help="A control node's data folder.")],
+    as_json: Annotated[bool, typer.Option("--json", help="What it holds as JSON.")] = False,
+) -> None:
+    """Read a data folder offline: whether it is whole, and what it holds. Exit code 1 when anything is wrong."""
+    from finchswitch.programs.verify import verify_folder
+
+    try:
+        held, wrong = verify_folder(data)
+    except Mishap as mishap:
+        typer.echo(str(mishap), err=True)
+        raise typer.Exit(2) from None
+    if as_json:
+        typer.echo(json.dumps({"held": held, "wrong": wrong}, indent=2))
+    else:
+        typer.echo(f"store {held['store'] or 'none'} of fleet {held['fleet'] or 'none'}")
+        for part, shown in held["parts"].items():
+            typer.echo(f"{part}: " + ", ".join(f"{name} {value}" for name, value in shown.items()))
+        for fault in wrong:
+            typer.echo(f"wrong: {fault}", err=True)
+    raise typer.Exit(1 if wrong else 0)
+
+
 def main() -> None:
     app()
