Logs as one JSON object a line, by a switch

Fixed fields: time, process, part, level, text, and step, peer and kind of the mishap that a sentence names. The tests that silence to_stderr take its third argument.

--- a/src/finchswitch/platform/programs.py
+++ b/src/finchswitch/platform/programs.py
@@ -71,7 +71,7 @@
         print("\n".join(read.failure()), file=sys.stderr)
         return 2
     startup, readiness = read.unwrap()
-    to_stderr(startup.log, startup.name)
+    to_stderr(startup.log, startup.name, startup.log_form)
     try:
         anyio.run(_transit if program == "transit" else _accord, startup, readiness, backend="trio")
     except (OSError, Mishap, ExceptionGroup) as ended:
--- a/src/finchswitch/programs/cli.py
+++ b/src/finchswitch/programs/cli.py
@@ -36,6 +36,7 @@
 District = Annotated[str | None, typer.Option(help="The district (zone) this machine is in.")]
 Seeds = Annotated[list[str] | None, typer.Option("--seed", help="IP:port of another process; give three.")]
 Log = Annotated[str | None, typer.Option(help="debug, info, notice, warning or error.")]
+LogForm = Annotated[str | None, typer.Option(help="text for people, or json: one object a line.")]
 
 
 def _start(
@@ -47,7 +48,7 @@
             typer.echo(fault, err=True)
         raise typer.Exit(2)
     startup = read.unwrap()
-    to_stderr(startup.log, startup.name)
+    to_stderr(startup.log, startup.name, startup.log_form)
     try:
         anyio.run(run, startup, backend="trio")
     except (OSError, Mishap, ExceptionGroup) as ended:
@@ -69,11 +70,13 @@
     seed: Seeds = None,
     platform: Annotated[str | None, typer.Option(help="IP:port of the platform's list of runners.")] = None,
     log: Log = None,
+    log_form: LogForm = None,
 ) -> None:
     """Run a routing node."""
     from finchswitch.programs.transit import run_transit
 
     flags = {"name": name, "address": address, "http": http, "district": district, "seeds": seed, "log": log}
+    flags["log_form"] = log_form
     _start("transit", file, {**flags, "platform": platform}, run_transit)
 
 
@@ -87,11 +90,13 @@
     seed: Seeds = None,
     data: Annotated[str | None, typer.Option(help="The data folder.")] = None,
     log: Log = None,
+    log_form: LogForm = None,
 ) -> None:
     """Run a control node."""
     from finchswitch.programs.accord import run_accord
 
     flags = {"name": name, "address": address, "http": http, "district": district, "seeds": seed, "log": log}
+    flags["log_form"] = log_form
     _start("accord", file, {**flags, "data": data}, run_accord)
 
 
--- a/src/finchswitch/programs/startup.py
+++ b/src/finchswitch/programs/startup.py
@@ -13,6 +13,7 @@
 from returns.result import Failure, Result, Success
 
 from finchswitch.bounds import Bounds
+from finchswitch.logs import FORMS
 
 __all__ = ["Startup", "address_faults", "read_startup"]
 
@@ -31,6 +32,7 @@
     platform: str = ""
     data: str = ""
     log: str = "info"
+    log_form: str = "text"
     bounds: Bounds = field(default_factory=Bounds)
 
 
@@ -55,7 +57,7 @@
             return Failure([f"file: {file}: {error}"])
     settings = {**raw, **{name: value for name, value in flags.items() if value not in (None, [])}}
     needed = ["name", "address", "http", "district", "seeds", "platform" if program == "transit" else "data"]
-    wrong = [f"{name}: no such setting for {program}" for name in settings if name not in (*needed, "log")]
+    wrong = [f"{name}: no such setting for {program}" for name in settings if name not in (*needed, "log", "log_form")]
     wrong += [f"{name}: missing" for name in needed if name not in settings]
     for name in ("name", "district", "data", "log"):
         if name in settings and (not isinstance(settings[name], str) or not settings[name]):
@@ -66,6 +68,8 @@
     wrong += _seed_faults(settings.get("seeds", [""] * 3))
     if settings.get("log", "info") not in _LEVELS:
         wrong.append(f"log: one of {', '.join(_LEVELS)}")
+    if settings.get("log_form", "text") not in FORMS:
+        wrong.append(f"log_form: one of {', '.join(FORMS)}")
     if not wrong and program == "accord":
         wrong += _folder_faults(Path(settings["data"]))
     if not wrong and settings["address"] == settings["http"]:
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -3,11 +3,14 @@
 import json
 import socket
 
+import logbook
 import pytest
 from typer.testing import CliRunner
 
 import finchswitch.programs.cli
 import finchswitch.shelf
+from finchswitch.logs import line_of, prefix
+from finchswitch.mishap import Mishap
 from finchswitch.programs.cli import app
 from finchswitch.programs.startup import read_startup
 from finchswitch.shelf import RealDisk, Shelf
@@ -33,6 +36,7 @@
         ({"colour": "red"}, "colour: no such setting for accord"),
         ({"seeds": ["127.0.0.1:1"]}, "seeds: three addresses are needed, 1 given"),
         ({"http": "127.0.0.1:7100"}, "http: the same as address"),
+        ({"log_form": "xml"}, "log_form: one of text, json"),
         ({"log": "loud"}, "log: one of debug, info, notice, warning, error"),
         ({"data": "/proc/nowhere"}, "data: /proc/nowhere cannot be written: No such file or directory"),
     ],
@@ -113,7 +117,7 @@
 
 @pytest.mark.parametrize("which", ["address", "http"])
 def test_an_address_in_use_is_one_line_and_no_traceback(tmp_path, monkeypatch, which):
-    monkeypatch.setattr(finchswitch.programs.cli, "to_stderr", lambda level, name: None)
+    monkeypatch.setattr(finchswitch.programs.cli, "to_stderr", lambda level, name, form: None)
     with socket.socket() as taken, socket.socket() as free:
         for each in (taken, free):
             each.bind(("127.0.0.1", 0))
@@ -132,7 +136,7 @@
 
 
 def test_a_folder_of_a_newer_version_is_named_and_left(tmp_path, monkeypatch):
-    monkeypatch.setattr(finchswitch.programs.cli, "to_stderr", lambda level, name: None)
+    monkeypatch.setattr(finchswitch.programs.cli, "to_stderr", lambda level, name, form: None)
     monkeypatch.setattr(finchswitch.shelf, "SHELF_FORMAT", 2)
     Shelf(RealDisk(tmp_path / "data"), "store").put({"store": "s", "fleet": "f", "founders": []})
     file = tmp_path / "a.toml"
@@ -140,3 +144,20 @@
     result = RUN.invoke(app, ["accord", "--file", str(file), "--data", str(tmp_path / "data")])
     assert result.exit_code == 1 and "newer format" in result.stderr and "Traceback" not in result.stderr
     assert len(list((tmp_path / "data" / "store").iterdir())) == 1
+
+
+def test_a_log_line_for_programs_has_fixed_fields_and_a_mishaps_step_and_peer():
+    with logbook.TestHandler() as caught:
+        prefix("call").warning("A try failed. {}", Mishap.silent("connect", "r1", "no answer"))
+        prefix("relay").info("creed is at generation {}.", 4)
+    first, second = (json.loads(line_of(record, "t1")) for record in caught.records)
+    assert {each: first[each] for each in ("process", "part", "level", "step", "peer", "kind")} == {
+        "process": "t1",
+        "part": "call",
+        "level": "warning",
+        "step": "connect",
+        "peer": "r1",
+        "kind": "silent",
+    }
+    assert set(second) == {"time", "process", "part", "level", "text"}
+    assert second["text"] == "creed is at generation 4."
