--- a/src/finchswitch/accord/asks.py
+++ b/src/finchswitch/accord/asks.py
@@ -9,7 +9,7 @@
 from finchswitch.mishap import Mishap, MishapKind
 from finchswitch.wire import GONE, Asked, Message, field, serve_asks, settle
 
-__all__ = ["run_council"]
+__all__ = ["answer_session", "run_council"]
 
 _log = prefix("accord")
 
@@ -30,7 +30,7 @@
 
 async def _answer(council: Council, asked: Asked) -> Message:
     if asked.kind == "session.beat":
-        return _session_beat(council, asked)
+        return answer_session(council, asked)
     if asked.kind == "session.leave":
         council.sessions.leave(field(asked.body, "name", str, asked.peer))
         council.tempo.kick()
@@ -65,7 +65,8 @@
     return {"plane": "control", "controls": sorted({council.startup.address, *council.kindred.addresses})}
 
 
-def _session_beat(council: Council, asked: Asked) -> Message:
+def answer_session(council: Council, asked: Asked) -> Message:
+    """Answer a session's beat: whether what is held here is current, who else is control, and the members."""
     body, now_ms = asked.body, council.world.now_ms()
     beat = {key: field(body, key, str, asked.peer) for key in ("address", "http", "district", "incarnation")}
     generations = field(body, "generations", dict, asked.peer)
--- a/src/finchswitch/programs/cli.py
+++ b/src/finchswitch/programs/cli.py
@@ -143,5 +143,16 @@
     raise typer.Exit(run_measure(trial))
 
 
+@app.command()
+def slopes(
+    only: Annotated[str, typer.Option(help="Measure the subjects whose name begins so; all otherwise.")] = "",
+    effort_ms: Annotated[float, typer.Option(help="Processor time spent on each of three batches of an act.")] = 50.0,
+) -> None:
+    """Measure what the fleet's repeated acts cost as lines over their sizes; prints JSON."""
+    from finchswitch.programs.rehearse import run_slopes
+
+    raise typer.Exit(run_slopes(only, effort_ms))
+
+
 def main() -> None:
     app()
--- a/src/finchswitch/programs/rehearse.py
+++ b/src/finchswitch/programs/rehearse.py
@@ -1,4 +1,4 @@
-"""rehearse: failure scenes over seeds, one line a run."""
+"""rehearse: failure scenes over seeds, one line a run; and the measurements that go with them."""
 
 import json
 import time
@@ -11,9 +11,13 @@
 from finchswitch.rehearsal.measure import CONDITIONS, Trial, measure
 from finchswitch.rehearsal.report import make_report
 from finchswitch.rehearsal.rivals import RIVALS
+from finchswitch.rehearsal.slopes import measure_slopes
+from finchswitch.rehearsal.slopes_control import control_subjects
+from finchswitch.rehearsal.slopes_memory import memory_subjects
+from finchswitch.rehearsal.slopes_nodes import node_subjects
 from finchswitch.rehearsal.sweep import ALL, perform
 
-__all__ = ["run_measure", "run_rehearsal"]
+__all__ = ["run_measure", "run_rehearsal", "run_slopes"]
 
 
 def run_rehearsal(scene: str, seeds: str, deployment: str, log: str) -> int:
@@ -54,3 +58,15 @@
     to_stderr("critical", "measure")
     typer.echo(json.dumps(measure(trial)))
     return 0
+
+
+def run_slopes(only: str, effort_ms: float) -> int:
+    """All slopes, or of those subjects whose name begins so."""
+    subjects = [*node_subjects(), *control_subjects(), *memory_subjects()]
+    chosen = [each for each in subjects if each.name.startswith(only)]
+    if not chosen:
+        typer.echo(f"only: {only} begins none of {', '.join(each.name for each in subjects)}", err=True)
+        return 2
+    to_stderr("critical", "slopes")
+    typer.echo(json.dumps(measure_slopes(chosen, effort_ms), indent=1))
+    return 0
