--- a/src/finchswitch/programs/cli.py
+++ b/src/finchswitch/programs/cli.py
@@ -154,5 +154,16 @@
     raise typer.Exit(run_slopes(only, effort_ms))
 
 
+@app.command()
+def hollow(
+    nodes: Annotated[int, typer.Option(help="Hollow nodes before three control nodes.")] = 20,
+    seed: Annotated[int, typer.Option(help="The seed.")] = 1,
+) -> None:
+    """Run nodes that only keep their place, in virtual time, and print what each sends and how fast a change is."""
+    from finchswitch.programs.rehearse import run_scale
+
+    raise typer.Exit(run_scale(nodes, seed))
+
+
 def main() -> None:
     app()
--- a/src/finchswitch/programs/rehearse.py
+++ b/src/finchswitch/programs/rehearse.py
@@ -8,6 +8,7 @@
 
 from finchswitch.logs import to_stderr
 from finchswitch.rehearsal.deployments import DEPLOYMENTS
+from finchswitch.rehearsal.hollow import HollowRun, run_hollow
 from finchswitch.rehearsal.measure import CONDITIONS, Trial, measure
 from finchswitch.rehearsal.report import make_report
 from finchswitch.rehearsal.rivals import RIVALS
@@ -17,7 +18,7 @@
 from finchswitch.rehearsal.slopes_nodes import node_subjects
 from finchswitch.rehearsal.sweep import ALL, perform
 
-__all__ = ["run_measure", "run_rehearsal", "run_slopes"]
+__all__ = ["run_measure", "run_rehearsal", "run_scale", "run_slopes"]
 
 
 def run_rehearsal(scene: str, seeds: str, deployment: str, log: str) -> int:
@@ -70,3 +71,12 @@
     to_stderr("critical", "slopes")
     typer.echo(json.dumps(measure_slopes(chosen, effort_ms), indent=1))
     return 0
+
+
+def run_scale(nodes: int, seed: int) -> int:
+    if nodes < 2:
+        typer.echo("nodes: two are the fewest that have a peer", err=True)
+        return 2
+    to_stderr("critical", "hollow")
+    typer.echo(json.dumps(run_hollow(HollowRun(nodes, seed=seed))))
+    return 0
--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -100,3 +100,11 @@
         assert len(run["inForceMs"]) == 1
     assert more["nodeMessagesPerS"] > few["nodeMessagesPerS"]
     assert more["nodeBytesPerS"] > few["nodeBytesPerS"]
+
+
+def test_the_scale_run_is_a_command_too():
+    run = "from finchswitch.programs.cli import main; main()"
+    asked = [sys.executable, "-c", run, "hollow", "--nodes"]
+    done = subprocess.run([*asked, "2"], capture_output=True, text=True, timeout=120)
+    assert (done.returncode, json.loads(done.stdout)["fewestListed"]) == (0, 2)
+    assert subprocess.run([*asked, "1"], capture_output=True, text=True, timeout=60).returncode == 2
