--- a/src/finchswitch/programs/cli.py
+++ b/src/finchswitch/programs/cli.py
@@ -173,5 +173,27 @@
     raise typer.Exit(1 if wrong else 0)
 
 
+@app.command()
+def slopes(
+    only: Annotated[str, typer.Option(help="Measure the subjects whose name begins so; all otherwise.")] = "",
+    effort_ms: Annotated[float, typer.Option(help="Processor time spent on each of three batches of an act.")] = 50.0,
+) -> None:
+    """Measure what the fleet's repeated acts cost as lines over their sizes; prints JSON."""
+    from finchswitch.programs.rehearse import run_slopes
+
+    raise typer.Exit(run_slopes(only, effort_ms))
+
+
+@app.command()
+def hollow(
+    nodes: Annotated[int, typer.Option(help="Hollow nodes before three control nodes.")] = 20,
+    seed: Annotated[int, typer.Option(help="The seed.")] = 1,
+) -> None:
+    """Run nodes that only keep their place, in virtual time, and print what each sends and how fast a change is."""
+    from finchswitch.programs.rehearse import run_scale
+
+    raise typer.Exit(run_scale(nodes, seed))
+
+
 def main() -> None:
     app()
--- a/src/finchswitch/programs/rehearse.py
+++ b/src/finchswitch/programs/rehearse.py
@@ -1,4 +1,4 @@
-"""rehearse: failure scenes over seeds, one line a run."""
+"""rehearse: failure scenes over seeds, one line a run; and the measurements that go with them."""
 
 import json
 import time
@@ -8,12 +8,17 @@
 
 from finchswitch.logs import to_stderr
 from finchswitch.rehearsal.deployments import DEPLOYMENTS
+from finchswitch.rehearsal.hollow import HollowRun, run_hollow
 from finchswitch.rehearsal.measure import CONDITIONS, Trial, measure
 from finchswitch.rehearsal.report import make_report
 from finchswitch.rehearsal.rivals import RIVALS
+from finchswitch.rehearsal.slopes import measure_slopes
+from finchswitch.rehearsal.slopes_control import control_subjects
+from finchswitch.rehearsal.slopes_memory import memory_subjects
+from finchswitch.rehearsal.slopes_nodes import node_subjects
 from finchswitch.rehearsal.sweep import ALL, perform
 
-__all__ = ["run_measure", "run_rehearsal"]
+__all__ = ["run_measure", "run_rehearsal", "run_scale", "run_slopes"]
 
 
 def run_rehearsal(scene: str, seeds: str, deployment: str, log: str) -> int:
@@ -54,3 +59,24 @@
     to_stderr("critical", "measure")
     typer.echo(json.dumps(measure(trial)))
     return 0
+
+
+def run_slopes(only: str, effort_ms: float) -> int:
+    """All slopes, or of those subjects whose name begins so."""
+    subjects = [*node_subjects(), *control_subjects(), *memory_subjects()]
+    chosen = [each for each in subjects if each.name.startswith(only)]
+    if not chosen:
+        typer.echo(f"only: {only} begins none of {', '.join(each.name for each in subjects)}", err=True)
+        return 2
+    to_stderr("critical", "slopes")
+    typer.echo(json.dumps(measure_slopes(chosen, effort_ms), indent=1))
+    return 0
+
+
+def run_scale(nodes: int, seed: int) -> int:
+    if nodes < 2:
+        typer.echo("nodes: two are the fewest that have a peer", err=True)
+        return 2
+    to_stderr("critical", "hollow")
+    typer.echo(json.dumps(run_hollow(HollowRun(nodes, seed=seed))))
+    return 0
