--- a/src/finchswitch/platform/settings.py
+++ b/src/finchswitch/platform/settings.py
@@ -100,6 +100,7 @@
     def bound(name: str) -> float:
         return reader.number("timing_bounds", name)
 
+    grace_ms = 1000 * bound("grace_s")
     tolerance = max(int(reader.number("fault_tolerance", each)) for each in ("machines", "zones", "regions"))
     return Bounds(
         tolerance=tolerance,
@@ -113,8 +114,8 @@
         tries_window_ms=1000 * bound("budget_window_s"),
         tries_fleet_floor=0.75 * bound("budget_extra"),
         tries_share=0.75 * bound("retry_budget_ratio"),
-        stop_settle_ms=0.3 * 1000 * bound("grace_s"),
-        grace_ms=0.9 * 1000 * bound("grace_s"),
+        stop_settle_ms=0.3 * grace_ms,
+        grace_ms=0.9 * grace_ms,
         aim_share=0.8,
         late_share=2.5,
     )
