--- a/src/finchswitch/platform/configuration.py
+++ b/src/finchswitch/platform/configuration.py
@@ -25,15 +25,15 @@
     "header_timeout_ms": "headWaitMs",
     "idle_timeout_ms": "idleWaitMs",
 }
+_SERVICE = {"health_path": "healthPath", "max_connections": "connectionsMost"}
+_ENGINE = {"capacity_slots": "slots", "kv_capacity": "memoryTokens"}
 _BACK = {
-    "host": "host_name",
-    "prefix": "path_prefix",
-    "timeoutMs": "timeout_ms",
-    "firstAimMs": "target_latency_ms",
-    "gapAimMs": "target_gap_ms",
-    "rank": "priority_level",
-    "mostRunners": "max_attempts",
-    "targets": "weighted_targets",
+    "routes": {**{ours: theirs for theirs, ours in _ROUTE.items()}, "targets": "weighted_targets"},
+    "services": {
+        **{ours: theirs for theirs, ours in _SERVICE.items()},
+        **{ours: f"engine.{theirs}" for theirs, ours in _ENGINE.items()},
+    },
+    "settings": {ours: theirs for theirs, ours in _LIMITS.items()},
 }
 
 
@@ -47,28 +47,38 @@
     ({'s': 100}, 'always', 9)
     """
     route = {ours: item[theirs] for theirs, ours in _ROUTE.items() if theirs in item}
-    targets: dict[str, Any] = {}
-    if "target_service" in item:
-        targets[str(item["target_service"])] = 1
-    for each in item.get("weighted_targets") or []:
-        if isinstance(each, dict) and "target_service" in each:
-            weight, name = each.get("weight", 1), str(each["target_service"])
-            before = targets.get(name, 0)
-            targets[name] = weight + before if type(weight) is int and type(before) is int else weight
+    targets = _targets(item)
     repeat = "always" if item.get("route_type") == "safe" else "never"
     repeat = "resume" if item.get("stream_resumption") is True else repeat
     return {**route, "targets": targets, "repeat": repeat, "origin": [item]}
 
 
+def _targets(item: dict[str, Any]) -> Any:
+    """Weights by service; what does not say them is left as it is, to be named by the checks."""
+    weighted = item.get("weighted_targets")
+    if weighted is None:
+        return {str(item["target_service"]): 1} if "target_service" in item else {}
+    if not isinstance(weighted, list) or not all(
+        isinstance(each, dict) and "target_service" in each for each in weighted
+    ):
+        return weighted
+    targets: dict[str, Any] = {str(item["target_service"]): 1} if "target_service" in item else {}
+    for each in weighted:
+        weight, name = each.get("weight", 1), str(each["target_service"])
+        before = targets.get(name, 0)
+        targets[name] = weight + before if type(weight) is int and type(before) is int else weight
+    return targets
+
+
 def service_of(item: dict[str, Any]) -> dict[str, Any]:
     """A service in the product's terms."""
     service: dict[str, Any] = {"listed": True, "origin": [item]}
-    for theirs, ours in (("health_path", "healthPath"), ("max_connections", "connectionsMost")):
+    for theirs, ours in _SERVICE.items():
         if theirs in item:
             service[ours] = item[theirs]
     engine = item.get("engine")
     if isinstance(engine, dict):
-        for theirs, ours in (("capacity_slots", "slots"), ("kv_capacity", "memoryTokens")):
+        for theirs, ours in _ENGINE.items():
             if theirs in engine:
                 service[ours] = engine[theirs]
     return service
@@ -134,7 +144,8 @@
         if kind not in _READERS or not isinstance(names, list) or not all(isinstance(each, str) for each in names):
             wrong.append(f"remove.{kind}: a list of names of routes or services is needed")
             continue
-        kept = {each.get("name") for each in upsert.get(kind, []) if isinstance(each, dict)}
+        put = upsert.get(kind)
+        kept = [each.get("name") for each in put if isinstance(each, dict)] if isinstance(put, list) else []
         edits += [{"kind": kind, "name": each, "value": None, "gone": True} for each in names if each not in kept]
     for kind, items in upsert.items():
         read = _entries(kind, items) if kind in _READERS else [f"upsert.{kind}: no such kind"]
@@ -166,7 +177,18 @@
 
     >>> named("routes.r.timeoutMs: 0 is not within 1 and 3600000")
     'routes.r.timeout_ms: 0 is not within 1 and 3600000'
+    >>> named("settings.bodyMostBytes: null is not a whole number"), named("routes.r.targets: unknown service s")
+    ('limits.max_body_bytes: null is not a whole number', 'routes.r.target_service: unknown service s')
     """
     where, colon, reason = fault.partition(": ")
-    head, dot, last = where.rpartition(".")
-    return f"{head}{dot}{_BACK.get(last, last)}{colon}{reason}"
+    kind, _, rest = where.partition(".")
+    if where == "settings.revision":
+        return f"revision{colon}{reason}"
+    back, kind = _BACK.get(kind, {}), "limits" if kind == "settings" else kind
+    head, dot, last = rest.rpartition(".")
+    if kind == "routes" and head.endswith(".targets"):
+        head, dot, last = *head.rpartition(".")[:2], "targets"
+    theirs = back.get(last, last)
+    if last == "targets" and reason.startswith("unknown service"):
+        theirs = "target_service"
+    return f"{kind}.{head}{dot}{theirs}{colon}{reason}" if rest else fault
