--- a/src/finchswitch/platform/configuration.py
+++ b/src/finchswitch/platform/configuration.py
@@ -145,7 +145,7 @@
             wrong.append(f"remove.{kind}: a list of names of routes or services is needed")
             continue
         put = upsert.get(kind)
-        kept = [each.get("name") for each in put if isinstance(each, dict)] if isinstance(put, list) else []
+        kept = {str(each.get("name")) for each in put if isinstance(each, dict)} if isinstance(put, list) else set()
         edits += [{"kind": kind, "name": each, "value": None, "gone": True} for each in names if each not in kept]
     for kind, items in upsert.items():
         read = _entries(kind, items) if kind in _READERS else [f"upsert.{kind}: no such kind"]
--- a/src/finchswitch/platform/programs.py
+++ b/src/finchswitch/platform/programs.py
@@ -26,32 +26,37 @@
 from finchswitch.transit.node import Node
 from finchswitch.wire.real import RealWorld
 
-__all__ = ["main"]
+__all__ = ["main", "make_control", "make_looks"]
 
 _READINESS = "/api/readiness"
 
 
+def make_looks(node: Node) -> Starlette:
+    """What the platform and people look at on a routing node."""
+
+    async def ready(request: Request) -> Response:
+        return JSONResponse({}, 200 if node.ready() else 503)
+
+    return Starlette(routes=[Route(_READINESS, ready), *make_doors(node).routes])
+
+
+def make_control(council: Council) -> Starlette:
+    """A control node's desk, in the platform's words and in the product's own."""
+    return Starlette(routes=[*desk_routes(council), *make_desk(council).routes])
+
+
 async def _transit(startup: Startup, readiness: str) -> None:
     async with anyio.create_task_group() as group:
         world = RealWorld()
         node = Node(world, startup, group, PlatformDialect(), InstanceLister)
-
-        async def ready(request: Request) -> Response:
-            return JSONResponse({}, 200 if node.ready() else 503)
-
-        looks = Starlette(routes=[Route(_READINESS, ready), *make_doors(node).routes])
-        group.start_soon(world.serve_http, looks, readiness, anyio.Event())
+        group.start_soon(world.serve_http, make_looks(node), readiness, anyio.Event())
         await serve_transit(world, node, Calls(node), group, partial(_seeds, "transit", startup))
 
 
 async def _accord(startup: Startup, readiness: str) -> None:
     async with anyio.create_task_group() as group:
         world = RealWorld()
-
-        def app(council: Council) -> Starlette:
-            return Starlette(routes=[*desk_routes(council), *make_desk(council).routes])
-
-        await serve_accord(world, startup, group, app, partial(_seeds, "accord", startup))
+        await serve_accord(world, startup, group, make_control, partial(_seeds, "accord", startup))
 
 
 def _seeds(program: str, startup: Startup) -> list[str]:
--- a/src/finchswitch/rehearsal/play.py
+++ b/src/finchswitch/rehearsal/play.py
@@ -1,6 +1,7 @@
 """Playing a scene: one theatre, virtual time, a fixed order of tasks. The same seed gives the same history."""
 
 from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 import anyio
 import trio
@@ -10,13 +11,20 @@
 from finchswitch.rehearsal.history import History
 from finchswitch.rehearsal.theatre import Theatre
 
-__all__ = ["play"]
+__all__ = ["in_virtual_time", "play"]
 
+_Kept = TypeVar("_Kept")
 
-def play(scene: Callable[[Theatre], Awaitable[None]], deployment: Deployment, seed: int) -> History:
-    """Run a scene in virtual time."""
+
+def in_virtual_time(run: Callable[[], Awaitable[_Kept]], seed: int) -> _Kept:
+    """Run to the end on a clock that jumps to whatever comes next, with tasks in an order that the seed fixes."""
     setattr(trio._core._run, "_ALLOW_DETERMINISTIC_SCHEDULING", True)  # noqa: B010
     trio._core._run._r.seed(seed)
+    return anyio.run(run, backend="trio", backend_options={"clock": MockClock(autojump_threshold=0)})
+
+
+def play(scene: Callable[[Theatre], Awaitable[None]], deployment: Deployment, seed: int) -> History:
+    """Run a scene in virtual time."""
 
     async def run() -> History:
         async with anyio.create_task_group() as group:
@@ -27,5 +35,4 @@
             group.cancel_scope.cancel()
         return history
 
-    options = {"clock": MockClock(autojump_threshold=0)}
-    return anyio.run(run, backend="trio", backend_options=options)
+    return in_virtual_time(run, seed)
