--- /dev/null
+++ b/src/finchswitch/platform/stand_in_fleet.py
@@ -0,0 +1,191 @@
+"""A whole fleet on a stand-in of the platform, in virtual time: its machines, its runners, its list and its callers.
+
+The nodes are those that the adapter's programs run, with settings read from a settings file; see ``play_fleet``.
+"""
+
+import tempfile
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import anyio
+import httpx
+import yaml
+from anyio.abc import TaskGroup
+
+from finchswitch.accord.asks import run_council
+from finchswitch.accord.council import Council
+from finchswitch.constants import CREED_PART
+from finchswitch.platform.calls import PlatformDialect
+from finchswitch.platform.instances import InstanceLister
+from finchswitch.platform.programs import make_control, make_looks
+from finchswitch.platform.settings import read_settings
+from finchswitch.platform.stand_in import Ran, Reached, StandInInstance, time_ms
+from finchswitch.platform.stand_in_clients import Asked, Gate, Sent, ask, send_change
+from finchswitch.platform.stand_in_list import StandInList
+from finchswitch.programs.startup import Startup
+from finchswitch.rehearsal.deployments import Deployment
+from finchswitch.rehearsal.disk import SimDisk
+from finchswitch.rehearsal.play import in_virtual_time
+from finchswitch.rehearsal.theatre import RUNNER_PORT, Actor, Theatre
+from finchswitch.transit.asks import run_node
+from finchswitch.transit.doors import Calls
+from finchswitch.transit.node import Node
+
+__all__ = ["DEPLOYMENT", "SERVICE", "StandInFleet", "play_fleet"]
+
+SERVICE = "s-main"
+DEPLOYMENT = Deployment("site", ["hill", "hill", "lake"], cores=3, runners=3, slots=16, traffic=[])
+_CLOUD = "10.0.0.2:8001"
+_BOUNDS = {"catch_up_s": 4, "ack_ms": 4000, "drain_ms": 3000, "grace_s": 8}
+_BUDGET = {"retry_budget_ratio": 0.2, "budget_window_s": 10, "budget_extra": 52}
+
+
+class StandInFleet(Theatre):
+    def __init__(self, seed: int, group: TaskGroup, folder: Path) -> None:
+        super().__init__(DEPLOYMENT, seed, group)
+        self.listing, self.instances = StandInList(), dict[str, StandInInstance]()
+        self.asked: list[Asked] = []
+        self.sent: list[Sent] = []
+        self.desk = Gate(self.outside, self.desk.nodes)
+        self._folder, self._first_start = folder, True
+
+    async def _serve_platform(self) -> None:
+        await self._world("10.0.0.2").serve_http(self.listing.app(), _CLOUD, anyio.Event())
+
+    def start_runner(self, name: str, incarnation: str, host: str = "") -> None:
+        self._hosts += 1
+        host = host or f"10.0.2.{self._hosts}"
+        self.instances[incarnation] = StandInInstance(self._world(host), SERVICE, incarnation, DEPLOYMENT.slots)
+        actor = self.actors[incarnation] = Actor(incarnation, host, "runner", "")
+        self._group.start_soon(self._run, actor, self._run_runner)
+        self.listing.put(incarnation, SERVICE, f"{host}{RUNNER_PORT}", DEPLOYMENT.slots)
+
+    async def _run_runner(self, actor: Actor, group: TaskGroup) -> None:
+        instance = self.instances[actor.name]
+        await instance.world.serve_http(instance, f"{actor.host}{RUNNER_PORT}", anyio.Event())
+
+    def leave(self, incarnation: str) -> None:
+        """From now on the runner is leaving; the list shows it a little later."""
+        self.instances[incarnation].leaving = True
+        self.listing.drain(incarnation)
+
+    def _startup(self, actor: Actor) -> Startup:
+        kind = "edge" if actor.kind == "transit" else "core"
+        seeds = [f"{each.host}:8000" for each in self.of_kind("accord")[:3]]
+        fields: dict[str, Any] = {"node_name": actor.name, "machine_class": kind, "zone": actor.district}
+        listen = {"front_http1": f"{actor.host}:8000", "readiness": f"{actor.host}:8001"}
+        fields["listen_addresses"] = listen if kind == "edge" else {"control_plane": f"{actor.host}:8000"}
+        fields |= {"ip_address": actor.host, "internal_port_range": [7100, 7115], "seed_nodes": seeds}
+        fields |= {"first_start": self._first_start, "data_directory": "/data" if kind == "core" else None}
+        fields |= {"fault_tolerance": {"machines": 1, "zones": 0, "regions": 0}}
+        fields |= {"timing_bounds": {**_BOUNDS, **_BUDGET}, "cloud_api": {"address": _CLOUD}}
+        file = self._folder / f"{actor.name}.yaml"
+        file.write_text(yaml.safe_dump(fields), "utf-8")
+        return read_settings(actor.kind, str(file)).unwrap()[0]
+
+    async def _run_accord(self, actor: Actor, group: TaskGroup) -> None:
+        world = self._world(actor.host)
+        disk = self.disks.setdefault(actor.name, SimDisk(self.net.machine(actor.host)))
+        actor.council = Council(world, disk, self._startup(actor), group)
+        group.start_soon(world.serve_http, make_control(actor.council), f"{actor.host}:8000", anyio.Event())
+        await run_council(actor.council)
+
+    async def _run_transit(self, actor: Actor, group: TaskGroup) -> None:
+        world = self._world(actor.host)
+        node = actor.node = Node(world, self._startup(actor), group, PlatformDialect(), InstanceLister)
+        stop, closed = actor.stop, actor.closed = anyio.Event(), anyio.Event()
+
+        async def serve() -> None:
+            await world.serve_http(Calls(node), f"{actor.host}:8000", stop)
+            closed.set()
+
+        group.start_soon(serve)
+        group.start_soon(world.serve_http, make_looks(node), f"{actor.host}:8001", anyio.Event())
+        await run_node(node)
+
+    async def replace_core(self, lost: str, name: str, host: str) -> None:
+        """The machine is gone for good; another with an empty disk joins at a new address."""
+        self.kill(lost, power=True)
+        del self.actors[lost], self.disks[lost]
+        await self.outside.sleep(1_000)
+        self.cast(name, "accord", "core", host)
+        self.start(name)
+
+    def owner(self) -> str:
+        """The control node that owns the configuration, by its own word."""
+        for actor in self.of_kind("accord"):
+            council = actor.council
+            if actor.group is not None and council is not None and council.registers[CREED_PART].owns():
+                return actor.name
+        return ""
+
+    async def open_up(self, document: dict[str, Any]) -> None:
+        """The first configuration is sent until it is taken; then the nodes become ready."""
+        self.start_all()
+        await self.outside.sleep(500)
+        await self.operate("PUT", 0, document)
+        self._first_start = False
+        assert await self.settle()
+
+    async def operate(self, method: str, match: int, document: dict[str, Any]) -> Sent:
+        sent = Sent(method, match, document)
+        self.sent.append(sent)
+        desks = [f"{actor.host}:8000" for actor in self.of_kind("accord")]
+        self.chance.shuffle(desks)
+        async with httpx.AsyncClient(transport=self.outside.http_transport(), trust_env=False) as client:
+            await send_change(client, desks, sent)
+        return sent
+
+    async def read_back(self, most_ms: float = 3_000) -> dict[str, Any]:
+        """The newest configuration, asked for again and again from one node after another."""
+        until_ms = self.now_ms() + most_ms
+        async with httpx.AsyncClient(transport=self.outside.http_transport(), trust_env=False) as client:
+            while self.now_ms() < until_ms:
+                for actor in self.of_kind("accord"):
+                    try:
+                        answer = await client.get(f"http://{actor.host}:8000/api/configuration", timeout=1.0)
+                        if answer.status_code == 200:
+                            return dict(answer.json())
+                    except httpx.HTTPError:
+                        continue
+                await self.outside.sleep(100)
+        return {}
+
+    async def ask_openly(self, route: dict[str, Any], per_s: float, for_ms: float, events: int = 8) -> None:
+        """Clients of a route at a rate, until the last answer has ended."""
+        until_ms = self.now_ms() + for_ms
+        async with httpx.AsyncClient(transport=self.outside.http_transport(), trust_env=False) as client:
+            async with anyio.create_task_group() as group:
+                while self.now_ms() < until_ms:
+                    await self.outside.sleep(self.chance.expovariate(per_s) * 1000)
+                    group.start_soon(self.ask_once, client, route, events)
+
+    async def ask_once(self, client: httpx.AsyncClient, route: dict[str, Any], events: int = 8) -> Asked:
+        attempt = f"{self.chance.getrandbits(64):016x}"
+        node = self.desk.hand(self.chance.choice(["hill", "lake"])) or ""
+        asked = Asked(attempt, route, node, events, time_ms(), f"body of {attempt}".encode())
+        self.asked.append(asked)
+        if node:
+            await ask(client, self.desk.nodes[node][0], asked)
+        return asked
+
+    def ran(self) -> list[Ran]:
+        return [ran for instance in self.instances.values() for ran in instance.ran]
+
+    def reached(self) -> list[Reached]:
+        return [reached for instance in self.instances.values() for reached in instance.reached]
+
+
+def play_fleet(scene: Callable[[StandInFleet], Awaitable[None]], seed: int = 1) -> StandInFleet:
+    """Play a scene in virtual time; the fleet holds the histories afterwards."""
+
+    async def run() -> StandInFleet:
+        with tempfile.TemporaryDirectory() as folder:
+            async with anyio.create_task_group() as group:
+                fleet = StandInFleet(seed, group, Path(folder))
+                await scene(fleet)
+                group.cancel_scope.cancel()
+        return fleet
+
+    return in_virtual_time(run, seed)
