--- a/src/finchswitch/platform/stand_in_clients.py
+++ b/src/finchswitch/platform/stand_in_clients.py
@@ -82,7 +82,7 @@
         "x-attempt-id": asked.attempt,
         "x-model": "m",
         "x-token-usage": f"60,{asked.events}",
-        "x-prompt-prefix": f"5c1e07a2:40,{asked.attempt}:20",
+        "x-prompt-prefix": f"5c1e07a{asked.attempt[0]}:40,{asked.attempt}:20",
         "x-deadline-remaining": str(deadline_ms),
     }
     url, text = f"http://{front}{asked.route['path_prefix']}2f?q={asked.attempt}", b""
--- a/src/finchswitch/platform/stand_in_fleet.py
+++ b/src/finchswitch/platform/stand_in_fleet.py
@@ -161,9 +161,12 @@
                     await self.outside.sleep(self.chance.expovariate(per_s) * 1000)
                     group.start_soon(self.ask_once, client, route, events)
 
-    async def ask_once(self, client: httpx.AsyncClient, route: dict[str, Any], events: int = 8) -> Asked:
+    async def ask_once(
+        self, client: httpx.AsyncClient, route: dict[str, Any], events: int = 8, node: str = ""
+    ) -> Asked:
+        """One try at a node, or at one to which the platform hands it."""
         attempt = f"{self.chance.getrandbits(64):016x}"
-        node = self.desk.hand(self.chance.choice(["hill", "lake"])) or ""
+        node = node or self.desk.hand(self.chance.choice(["hill", "lake"])) or ""
         asked = Asked(attempt, route, node, events, time_ms(), f"body of {attempt}".encode())
         self.asked.append(asked)
         if node:
