--- a/src/finchswitch/platform/stand_in_fleet.py
+++ b/src/finchswitch/platform/stand_in_fleet.py
@@ -20,8 +20,10 @@
 from finchswitch.platform.instances import InstanceLister
 from finchswitch.platform.programs import make_control, make_looks
 from finchswitch.platform.settings import read_settings
-from finchswitch.platform.stand_in import Ran, Reached, StandInInstance, time_ms
+from finchswitch.platform.stand_in import StandInInstance, time_ms
+from finchswitch.platform.stand_in_checks import Seen
 from finchswitch.platform.stand_in_clients import Asked, Gate, Sent, ask, send_change
+from finchswitch.platform.stand_in_documents import SERVICE
 from finchswitch.platform.stand_in_list import StandInList
 from finchswitch.programs.startup import Startup
 from finchswitch.rehearsal.deployments import Deployment
@@ -32,9 +34,8 @@
 from finchswitch.transit.doors import Calls
 from finchswitch.transit.node import Node
 
-__all__ = ["DEPLOYMENT", "SERVICE", "StandInFleet", "play_fleet"]
+__all__ = ["DEPLOYMENT", "StandInFleet", "play_fleet"]
 
-SERVICE = "s-main"
 DEPLOYMENT = Deployment("site", ["hill", "hill", "lake"], cores=3, runners=3, slots=16, traffic=[])
 _CLOUD = "10.0.0.2:8001"
 _BOUNDS = {"catch_up_s": 4, "ack_ms": 4000, "drain_ms": 3000, "grace_s": 8}
@@ -173,11 +174,14 @@
             await ask(client, self.desk.nodes[node][0], asked)
         return asked
 
-    def ran(self) -> list[Ran]:
-        return [ran for instance in self.instances.values() for ran in instance.ran]
-
-    def reached(self) -> list[Reached]:
-        return [reached for instance in self.instances.values() for reached in instance.reached]
+    def seen(self) -> Seen:
+        instances = self.instances.values()
+        return Seen(
+            asked=self.asked,
+            ran=[ran for instance in instances for ran in instance.ran],
+            reached=[reached for instance in instances for reached in instance.reached],
+            draining_ms=self.listing.draining_ms,
+        )
 
 
 def play_fleet(scene: Callable[[StandInFleet], Awaitable[None]], seed: int = 1) -> StandInFleet:
--- a/tests/test_platform_fleet.py
+++ b/tests/test_platform_fleet.py
@@ -3,96 +3,19 @@
 import anyio
 import httpx
 
-from finchswitch.platform.stand_in_fleet import SERVICE, play_fleet
-
-UNSAFE = {
-    "name": "r-unsafe",
-    "host_name": "one.example",
-    "path_prefix": "/unsafe/",
-    "route_type": "streaming",
-    "timeout_ms": 10_000,
-    "target_latency_ms": 800,
-    "target_gap_ms": 200,
-    "priority_level": 1,
-    "target_service": SERVICE,
-    "max_attempts": 3,
-    "stream_resumption": False,
-}
-RESUMED = {**UNSAFE, "name": "r-resumed", "path_prefix": "/resumed/", "stream_resumption": True, "priority_level": 0}
-LIMITS = {
-    "max_header_bytes": 16_384,
-    "max_body_bytes": 5_000,
-    "header_timeout_ms": 3_000,
-    "idle_timeout_ms": 15_000,
-}
-ENGINE = {"capacity_slots": 16, "kv_capacity": 443_888, "models": [{"name": "m"}]}
-SERVICES = [{"name": SERVICE, "health_path": "/health", "max_connections": 370, "engine": ENGINE}]
-DOCUMENT = {"revision": 3, "routes": [UNSAFE, RESUMED], "services": SERVICES, "limits": LIMITS}
-
-
-def added(at):
-    return {**UNSAFE, "name": f"r-new{at}", "path_prefix": f"/new{at}/"}
-
-
-def not_whole(fleet, names=("r-unsafe", "r-resumed")):
-    """What was asked on these routes and did not end as a whole answer."""
-    asked = [each for each in fleet.asked if each.route["name"] in names]
-    return [(each.attempt, each.status, each.reason) for each in asked if not (each.status == 200 and each.whole)]
-
-
-def torn(fleet):
-    """Answers in which a piece is missing, doubled, joined to another's, or the head is not that of their first run."""
-    wrong = []
-    seals = {run.seal: run for run in fleet.ran()}
-    for each in (asked for asked in fleet.asked if asked.status == 200):
-        numbers = [number for number, _, _, _ in each.got]
-        own = all(attempt == each.attempt and at == number for number, attempt, at, _ in each.got)
-        most = list(range(1, each.events + 1))
-        right = numbers == most if each.whole else numbers == most[: len(numbers)]
-        first = seals.get(each.headers.get("x-server-seal", ""))
-        headed = first is not None and first.attempt == each.attempt == each.headers.get("x-attempt-id")
-        if each.got and headed:
-            headed = first.instance == each.got[0][3] and first.after == 0
-        joined = len({instance for _, _, _, instance in each.got}) > 1 and not each.route["stream_resumption"]
-        if not own or not right or not headed or joined:
-            wrong.append((each.attempt, each.got, each.headers))
-    return wrong
-
-
-def run_more_than_once(fleet):
-    routes = {each.attempt: each.route for each in fleet.asked}
-    attempts = [run.attempt for run in fleet.ran() if not routes[run.attempt]["stream_resumption"]]
-    return sorted({each for each in attempts if attempts.count(each) > 1})
-
-
-def reworded(fleet):
-    """Runs of a request that no client sent so."""
-    sent = {
-        each.attempt: ("POST", f"{each.route['path_prefix']}2f?q={each.attempt}", each.body) for each in fleet.asked
-    }
-    return [run.words for run in fleet.ran() if run.words != sent.get(run.attempt)]
-
-
-def refused_but_run(fleet):
-    ran = {run.attempt for run in fleet.ran()}
-    return [each.attempt for each in fleet.asked if each.status in (408, 421, 429, 503) and each.attempt in ran]
-
-
-def late_at_draining(fleet):
-    """Requests that reached a runner too long after the list showed it as draining."""
-    until_ms = {instance: at_ms + 3_000 for instance, at_ms in fleet.listing.draining_ms.items()}
-    return [each for each in fleet.reached() if each.status != 421 and each.at_ms > until_ms.get(each.instance, 1e18)]
-
+from finchswitch.platform.stand_in_checks import judge, not_whole
+from finchswitch.platform.stand_in_documents import DOCUMENT, RESUMED, UNSAFE, added
+from finchswitch.platform.stand_in_fleet import play_fleet
 
-def over_budget(fleet):
-    extra = len(fleet.reached()) - len({each.attempt for each in fleet.reached()})
-    return max(0.0, extra - 0.2 * len(fleet.asked) - 52)
+BOTH = ("r-unsafe", "r-resumed")
 
 
-def judge(fleet):
-    checks = (torn, run_more_than_once, reworded, refused_but_run, late_at_draining, over_budget)
-    assert {check.__name__: found for check in checks if (found := check(fleet))} == {}
-    assert fleet.listing.refused == 0 and len(fleet.asked) > 50
+def judged(fleet):
+    """What the fleet's callers and runners saw, if no rule was broken and there was something to see."""
+    seen = fleet.seen()
+    assert judge(seen) == {}
+    assert fleet.listing.refused == 0 and len(seen.asked) > 50
+    return seen
 
 
 async def load(fleet, for_ms, per_s=15.0, events=8):
@@ -136,9 +59,9 @@
     fleet = play_fleet(scene)
     routes = [UNSAFE, RESUMED, added(1), added(2), added(3)]
     assert read == [{**DOCUMENT, "revision": 12, "routes": routes}]
-    judge(fleet)
-    assert not_whole(fleet, ("r-unsafe", "r-resumed", "r-new3")) == []
-    assert len({run.instance for run in fleet.ran()}) == 3
+    seen = judged(fleet)
+    assert not_whole(seen, *BOTH, "r-new3") == []
+    assert len({run.instance for run in seen.ran}) == 3
 
 
 def test_a_release_cuts_nothing_and_runs_nothing_twice():
@@ -155,10 +78,10 @@
                 fleet.kill(f"site-r{at}-i1")
 
     fleet = play_fleet(scene)
-    judge(fleet)
-    assert not_whole(fleet) == [] and run_more_than_once(fleet) == []
+    seen = judged(fleet)
+    assert not_whole(seen, *BOTH) == []
     assert len(fleet.listing.draining_ms) == 3
-    assert {run.instance for run in fleet.ran() if run.at_ms > max(fleet.listing.draining_ms.values()) + 3_000} == {
+    assert {run.instance for run in seen.ran if run.at_ms > max(fleet.listing.draining_ms.values()) + 3_000} == {
         f"site-r{at}-i2" for at in (1, 2, 3)
     }
 
@@ -184,8 +107,8 @@
         assert await statuses_everywhere(fleet, added(11)) == [200, 200, 200]
 
     fleet = play_fleet(scene)
-    judge(fleet)
-    assert not_whole(fleet, ("r-unsafe", "r-resumed", "r-new11")) == []
+    seen = judged(fleet)
+    assert not_whole(seen, *BOTH, "r-new11") == []
     assert killed[0].startswith("accord")
     assert read == [{**DOCUMENT, "revision": 27, "routes": [UNSAFE, RESUMED, *(added(at) for at in range(12))]}]
     assert max(sent.end_ms - sent.sent_ms for sent in fleet.sent) < 4_000
@@ -208,8 +131,8 @@
         assert await statuses_everywhere(fleet, added(3)) == [200, 200, 200]
 
     fleet = play_fleet(scene)
-    judge(fleet)
-    assert not_whole(fleet, ("r-unsafe", "r-resumed", "r-new3")) == []
+    seen = judged(fleet)
+    assert not_whole(seen, *BOTH, "r-new3") == []
     routes = [UNSAFE, RESUMED, *(added(at) for at in range(4))]
     assert read == [(19, {**DOCUMENT, "revision": 19, "routes": routes})]
 
@@ -226,8 +149,8 @@
             fleet.instances["site-r1-i1"].break_after = None
 
     fleet = play_fleet(scene)
-    judge(fleet)
-    broken = [run for run in fleet.ran() if not run.whole]
+    seen = judged(fleet)
+    broken = [run for run in seen.ran if not run.whole]
     assert len(broken) > 4 and {run.instance for run in broken} == {"site-r1-i1"}
     passed_on = {run.attempt: run.events for run in broken}
     asked = [each for each in fleet.asked if each.attempt in passed_on]
@@ -238,12 +161,12 @@
         instances, events = [instance for _, _, _, instance in each.got], passed_on[each.attempt]
         assert each.whole and len(instances) == 8 and instances[:events] == ["site-r1-i1"] * events
         assert "site-r1-i1" not in instances[events:]
-        (again,) = [run for run in fleet.ran() if run.attempt == each.attempt and run.after]
+        (again,) = [run for run in seen.ran if run.attempt == each.attempt and run.after]
         assert (again.after, again.instance) == (events, instances[-1])
     for each in cut:
         numbers = [number for number, _, _, _ in each.got]
         assert each.status == 200 and not each.whole and numbers == list(range(1, passed_on[each.attempt] + 1))
-    assert {attempt for attempt, _, _ in not_whole(fleet)} == {each.attempt for each in cut}
+    assert {attempt for attempt, _, _ in not_whole(seen, *BOTH)} == {each.attempt for each in cut}
 
 
 def test_a_planned_stop_under_load_cuts_no_answer():
@@ -261,8 +184,8 @@
             fleet.start("transit1")
 
     fleet = play_fleet(scene)
-    judge(fleet)
-    assert not_whole(fleet) == []
+    seen = judged(fleet)
+    assert not_whole(seen, *BOTH) == []
     began_ms, ended_ms = left[0]
     assert ended_ms - began_ms < 8_000
     under_way = [each for each in fleet.asked if each.node == "transit1" and each.at_ms < began_ms < each.end_ms]
