--- a/src/finchswitch/transit/call.py
+++ b/src/finchswitch/transit/call.py
@@ -104,8 +104,8 @@
                 node.sent.take_back(call.request_id)
             node.missed(drawn.runner.incarnation, mishap)
         taken_up = call.resumable and (flow.head is None or (flow.at is not None and not flow.head.failed))
-        repeats = taken_up if flow.head is not None else fate is Fate.NOT_RUN or call.repeatable
-        if not repeats or len(tried) >= (call.most_runners or len(tried) + 1):
+        repeats = flow.head is None and (fate is Fate.NOT_RUN or call.repeatable)
+        if not (taken_up or repeats) or len(tried) >= (call.most_runners or len(tried) + 1):
             break
         if not node.may_try_again(call.service):
             break
