--- a/src/finchswitch/platform/stand_in_fleet.py
+++ b/src/finchswitch/platform/stand_in_fleet.py
@@ -54,13 +54,13 @@
     async def _serve_platform(self) -> None:
         await self._world("10.0.0.2").serve_http(self.listing.app(), _CLOUD, anyio.Event())
 
-    def start_runner(self, name: str, incarnation: str, host: str = "") -> None:
+    def start_runner(self, name: str, incarnation: str, host: str = "", service: str = SERVICE) -> None:
         self._hosts += 1
         host = host or f"10.0.2.{self._hosts}"
-        self.instances[incarnation] = StandInInstance(self._world(host), SERVICE, incarnation, DEPLOYMENT.slots)
+        self.instances[incarnation] = StandInInstance(self._world(host), service, incarnation, DEPLOYMENT.slots)
         actor = self.actors[incarnation] = Actor(incarnation, host, "runner", "")
         self._group.start_soon(self._run, actor, self._run_runner)
-        self.listing.put(incarnation, SERVICE, f"{host}{RUNNER_PORT}", DEPLOYMENT.slots)
+        self.listing.put(incarnation, service, f"{host}{RUNNER_PORT}", DEPLOYMENT.slots)
 
     async def _run_runner(self, actor: Actor, group: TaskGroup) -> None:
         instance = self.instances[actor.name]
--- a/tests/test_platform_fleet.py
+++ b/tests/test_platform_fleet.py
@@ -169,6 +169,48 @@
     assert {attempt for attempt, _, _ in not_whole(seen, *BOTH)} == {each.attempt for each in cut}
 
 
+def test_a_stream_that_breaks_before_its_first_event_runs_again_only_where_that_is_allowed():
+    async def scene(fleet):
+        await fleet.open_up(DOCUMENT)
+        async with anyio.create_task_group() as group:
+            group.start_soon(load, fleet, 4_000)
+            await fleet.outside.sleep(1_000)
+            fleet.instances["site-r1-i1"].break_after = 0
+            await fleet.outside.sleep(2_000)
+            fleet.instances["site-r1-i1"].break_after = None
+
+    fleet = play_fleet(scene)
+    seen = judged(fleet)
+    broken = {run.attempt for run in seen.ran if not run.whole and run.events == 0}
+    unsafe = [each for each in seen.asked if each.attempt in broken and each.route is UNSAFE]
+    resumed = [each for each in seen.asked if each.attempt in broken and each.route is RESUMED]
+    assert unsafe and resumed
+    assert {(each.status, each.whole) for each in unsafe} == {(502, False)}
+    assert {(each.status, each.whole) for each in resumed} == {(200, True)}
+
+
+def test_an_address_given_to_another_service_runs_nothing_of_the_old_one():
+    async def scene(fleet):
+        await fleet.open_up(DOCUMENT)
+        async with anyio.create_task_group() as group:
+            group.start_soon(load, fleet, 8_000)
+            await fleet.outside.sleep(2_000)
+            host = fleet.actors["site-r1-i1"].host
+            fleet.kill("site-r1-i1")
+            fleet.start_runner("other-r1", "other-i1", host, "s-other")
+            await fleet.outside.sleep(3_000)
+            fleet.listing.remove("site-r1-i1")
+
+    fleet = play_fleet(scene)
+    seen = judged(fleet)
+    other = fleet.instances["other-i1"]
+    assert other.ran == [] and {each.status for each in other.reached} == {421}
+    lost = not_whole(seen, *BOTH)
+    cut = {run.attempt for run in seen.ran if run.instance == "site-r1-i1" and not run.whole}
+    assert {attempt for attempt, _, _ in lost} <= cut
+    assert {each.route["name"] for each in seen.asked if each.attempt in {one for one, _, _ in lost}} <= {"r-unsafe"}
+
+
 def test_a_planned_stop_under_load_cuts_no_answer():
     left = []
 
