--- a/src/finchswitch/platform/stand_in.py
+++ b/src/finchswitch/platform/stand_in.py
@@ -62,6 +62,10 @@
     def __post_init__(self) -> None:
         self._free = anyio.Semaphore(self.slots)
 
+    def turn_full(self, slots: int) -> None:
+        """From now on it has so few slots."""
+        self.slots, self._free = slots, anyio.Semaphore(slots)
+
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         if scope["type"] == "lifespan":
             return
--- a/tests/test_platform_doors.py
+++ b/tests/test_platform_doors.py
@@ -118,3 +118,22 @@
     assert sorted([first.status, second.status]) == [200, 412]
     won = first if first.status == 200 else second
     assert read[1] == {**DOCUMENT, "revision": 7, "routes": [*DOCUMENT["routes"], *won.document["upsert"]["routes"]]}
+
+
+def test_what_full_runners_turned_away_is_refused_and_never_runs():
+    async def scene(fleet):
+        await fleet.open_up(DOCUMENT)
+        for instance in fleet.instances.values():
+            instance.turn_full(3)
+        async with anyio.create_task_group() as group:
+            group.start_soon(fleet.ask_openly, UNSAFE, 40, 2_000)
+            group.start_soon(fleet.ask_openly, RESUMED, 40, 2_000)
+
+    seen = play_fleet(scene).seen()
+    assert judge(seen) == {}
+    refused = [each for each in seen.asked if each.status in (429, 503)]
+    assert refused and all(float(each.headers["retry-after"]) > 0 for each in refused)
+    assert not {each.attempt for each in refused} & {run.attempt for run in seen.ran}
+    turned_away = {each.attempt for each in seen.reached if each.status == 503}
+    assert turned_away & {each.attempt for each in refused}
+    assert turned_away & {each.attempt for each in seen.asked if each.status == 200 and each.whole}
