Large fleets: few peers are beaten, the rest is heard as sums from the control nodes

Cause: every node told every other one its word, which passes the bound of 11 KB/s with five nodes. Change: with more members than Bounds.peers_most, a node beats only the next, second, fourth and so on in the order of names, sends its word with its session's beat, and hears all others as one sum; control nodes tell each other sums; members are sent when they changed. Smaller fleets are as before.

--- a/src/finchswitch/accord/asks.py
+++ b/src/finchswitch/accord/asks.py
@@ -2,7 +2,7 @@
 
 from finchswitch.accord.change import confirm_current, edit_part, take_change
 from finchswitch.accord.council import Council
-from finchswitch.accord.document import part_names
+from finchswitch.accord.document import digest_of, part_names
 from finchswitch.accord.tending import tend_node, tend_part
 from finchswitch.constants import CREED_PART
 from finchswitch.logs import prefix
@@ -74,9 +74,16 @@
     if council.sessions.beat(name, {**beat, "generations": generations}, asked.peer, now_ms):
         council.tempo.kick()
     alive = [kin.address for kin in council.kindred.alive(now_ms)]
-    return {
+    answer = {
         "current": council.current(CREED_PART, now_ms),
         "generations": council.news.generations(),
         "controls": sorted({council.startup.address, *alive}),
-        "members": council.sessions.members(now_ms),
     }
+    members = council.sessions.members(now_ms)
+    mark = digest_of(members)
+    if body.get("membersMark") != mark:
+        answer.update({"members": members, "membersMark": mark})
+    if "word" in body:
+        council.sessions.hear_word(name, field(body, "word", dict, asked.peer))
+        answer["others"] = council.sessions.others(name, now_ms)
+    return answer
--- a/src/finchswitch/accord/council.py
+++ b/src/finchswitch/accord/council.py
@@ -122,6 +122,7 @@
             "promised": {part: each.promised for part, each in self.store.acceptors.items()},
             "generations": self.news.generations(),
             "sessions": self.sessions.own(now_ms),
+            "digest": self.sessions.digest(),
         }
 
     def hear_kin(self, body: Message, peer: str, asked_ms: float | None) -> None:
@@ -131,6 +132,7 @@
             return
         self.kindred.heard(kin, now_ms, asked_ms)
         self.sessions.told(kin.store, kin.sessions, now_ms)
+        self.sessions.told_digest(kin.store, kin.digest, now_ms)
         for part, register in self.registers.items():
             register.highest = max(register.highest, kin.promised.get(part, (0, ""))[0])
             if register.owns() and part in kin.owns and read_ballot(kin.owns[part]["ballot"]) > register.ballot:
--- a/src/finchswitch/bounds.py
+++ b/src/finchswitch/bounds.py
@@ -32,6 +32,7 @@
     list_unknown_ms: float = LIST_UNKNOWN_MS  # a view of the list older than this is none, unless the node serves alone
     list_shared: bool = False  # one node reads the list for all, the others hear of it
     vitals_poll_ms: float = VITALS_POLL_MS  # between two readings of a runner's vitals; 0 for none
+    peers_most: int | None = None  # peers that a node beats; None for all, which grows with the square of the fleet
     tries_window_ms: float = TRIES_WINDOW_MS  # extra tries are counted over this window
     tries_fleet_floor: float | None = None  # extra tries that the whole fleet may make beside the share of traffic
     tries_share: float | None = None  # the share; the configuration's where none is given here
--- a/src/finchswitch/constants.py
+++ b/src/finchswitch/constants.py
@@ -28,6 +28,7 @@
 CONTROL_GRACE_MS: Final = 1_500  # without current control this long, a node needs half of its peers to grant
 PEER_BEAT_MS: Final = 250  # burden and news of leaving; also the bound on going back after a wake
 PEER_SILENT_MS: Final = 1_000  # four peer beats
+PEERS_MOST: Final = 8  # peers that a node of a large fleet beats; news of one reaches all of 320 in three rounds
 TOLD_KEEP_MS: Final = 3_000  # sessions of a dead control node stand this long, so their nodes can move over
 
 # Accord
--- a/src/finchswitch/kinship/kin.py
+++ b/src/finchswitch/kinship/kin.py
@@ -32,6 +32,7 @@
     generations: dict[str, int]
     sessions: list[Message]
     district: str = ""
+    digest: Message = field(default_factory=dict)
     heard_ms: float = 0.0
     asked_ms: float = field(default=-1e18)
 
@@ -51,6 +52,7 @@
             generations=read(body, "generations", dict, peer),
             sessions=read(body, "sessions", list, peer),
             district=str(body.get("district", "")),
+            digest=body.get("digest", {}),
         )
 
 
--- a/src/finchswitch/kinship/member.py
+++ b/src/finchswitch/kinship/member.py
@@ -5,8 +5,10 @@
 holds. After any gap it serves again only when what it holds is confirmed.
 """
 
+from collections.abc import Callable
 from enum import Enum
 
+from finchswitch.bounds import Bounds
 from finchswitch.charts import Walker, load_chart
 from finchswitch.constants import (
     BEAT_MS,
@@ -17,6 +19,7 @@
     PEER_BEAT_MS,
     PEER_SILENT_MS,
 )
+from finchswitch.kinship.controls import Controls
 from finchswitch.kinship.tempo import Tempo
 from finchswitch.kinship.word import Word, check_beat
 from finchswitch.logs import prefix
@@ -48,16 +51,16 @@
 
 class Member:
     def __init__(
-        self, world: World, book: Book, news: NewsBook, card: Message, seeds: list[str], alone: bool = False
+        self, world: World, book: Book, news: NewsBook, card: Message, seeds: list[str], bounds: Bounds | None = None
     ) -> None:
         self._world, self._book, self._news = world, book, news
         self.card = card  # name, address, http, district, incarnation
         self._walker = Walker(_CHART, card["name"])
-        self._seeds = list(seeds)
-        self._alone = alone  # once confirmed, serve on while cut off: what is held may be older than the others'
-        self._routing: set[str] = set()  # seeds that turned out to be routing nodes
-        self.controls = list(seeds)
-        self.control = ""
+        bounds = bounds or Bounds()
+        self._alone, self._peers_most = bounds.serves_alone, bounds.peers_most
+        self._members_mark = ""
+        self.others: Message | None = None  # what all other nodes say, merged; None where peers are heard one by one
+        self.controls = Controls(world, book, card["address"], seeds)
         self.members: list[Message] = []
         self._listed = False
         self._current_ms = _NEVER
@@ -119,84 +122,68 @@
             _log.warning("Cut off; no seats until control or half of the peers are heard.")
         return self._walker.state is NodeState.SERVING
 
-    def new_seeds(self, seeds: list[str]) -> None:
-        """Other processes to ask when no control node is known any more."""
-        self._seeds = list(seeds)
-        self.controls = sorted({*self.controls, *seeds})
-
     def stop(self) -> None:
         self._walker.take(NodeEvent.STOP)
 
-    async def keep_session(self) -> None:
-        """The session with one control node after another."""
+    def many(self) -> bool:
+        """Whether there are more nodes than this one beats, so that it hears of the others in digests only."""
+        return self._peers_most is not None and len(self.members) - 1 > self._peers_most
+
+    async def keep_session(self, speak: Callable[[], Message]) -> None:
+        """The session with one control node after another; ``speak()`` gives this node's word for digests."""
         while self.state is not NodeState.STOPPING:
-            if not self.control and not self._elsewhere():
-                await self._ask_seeds()
+            if not self.controls.chosen and not self.controls.elsewhere():
+                await self.controls.ask_seeds()
                 await self.tempo.pause(BEAT_MS)
                 continue
             body = {**self.card, "generations": self._news.generations()}
+            if self.many():
+                body.update({"membersMark": self._members_mark, "word": speak()})
             asked_ms = self._world.now_ms()
             try:
-                answer = await self._book.ask(self.control, "session.beat", body, CONTROL_SILENT_MS)
-                with reading("session", self.control):
+                answer = await self._book.ask(self.controls.chosen, "session.beat", body, CONTROL_SILENT_MS)
+                with reading("session", self.controls.chosen):
                     self._hear_control(answer, asked_ms)
             except Mishap as mishap:
-                _log.info("No session with {}. {}", self.control, mishap)
-                await self._ask_who(self.control)
-                self._elsewhere()
+                _log.info("No session with {}. {}", self.controls.chosen, mishap)
+                await self.controls.ask_who(self.controls.chosen)
+                self.controls.elsewhere()
             self.may_grant()
-            await self.tempo.pause(BEAT_MS if self.control else BEAT_MS / 4)
-
-    def _elsewhere(self) -> bool:
-        """Take another control node than the present one, if one is known."""
-        others = [each for each in self.controls if each != self.control and each not in self._routing]
-        self.control = self._world.chance.choice(others) if others else ""
-        return bool(others)
-
-    async def _ask_seeds(self) -> None:
-        for address in self._seeds:
-            if address != self.card["address"]:
-                await self._ask_who(address)
-
-    async def _ask_who(self, address: str) -> None:
-        """Ask a process what it is and which control nodes it knows; a seed may be of any kind."""
-        try:
-            answer = await self._book.ask(address, "peer.who", {"plane": "routing", "address": ""}, BEAT_MS)
-            routing = field(answer, "plane", str, address) == "routing"
-            (self._routing.add if routing else self._routing.discard)(address)
-            for each in field(answer, "controls", list, address):
-                self.meet_control(str(each))
-        except Mishap as mishap:
-            _log.debug("Nobody says who is at {}. {}", address, mishap)
-
-    def meet_control(self, address: str) -> None:
-        if address not in self.controls:
-            self.controls.append(address)
-
-    def known_controls(self) -> list[str]:
-        return [each for each in self.controls if each not in self._routing]
+            await self.tempo.pause(BEAT_MS if self.controls.chosen else BEAT_MS / 4)
 
     def _hear_control(self, answer: Message, asked_ms: float) -> None:
         controls, generations = field(answer, "controls", list), field(answer, "generations", dict)
         for part, generation in generations.items():
             self._told[part] = max(self._told.get(part, -1), generation)
         if answer.get("current") is not True:
-            self._elsewhere()
+            self.controls.elsewhere()
             return
         self._current_ms = asked_ms
-        self.controls = sorted({*self._seeds, *controls})
-        self.members, self._listed = field(answer, "members", list), True
+        self.controls.hear(controls)
+        if "members" in answer:
+            self.members, self._listed = field(answer, "members", list), True
+            self._members_mark = str(answer.get("membersMark", ""))
+        self.others = {**answer["others"], "heardMs": asked_ms} if "others" in answer else None
 
     async def beat_peers(self, own_word: Word) -> None:
         """Tell every peer known this node's word, and hear theirs."""
         while True:
             self._forget_silent()
             word = self.word(own_word)
-            for address in sorted({each["address"] for each in [*self.members, *self.peers.values()]}):
+            for address in self._drawn_peers():
                 if address != self.card["address"]:
                     own_word.group.start_soon(self._beat_one, address, word, own_word)
             await self._world.sleep(PEER_BEAT_MS)
 
+    def _drawn_peers(self) -> list[str]:
+        """Whom to beat: everybody, or of many the next in the order of names, the second, the fourth, and so on."""
+        if not self.many():
+            return sorted({each["address"] for each in [*self.members, *self.peers.values()]})
+        ring = sorted(self.members, key=lambda each: str(each["name"]))
+        here = next((at for at, each in enumerate(ring) if each["name"] == self.card["name"]), 0)
+        steps = [2**at for at in range(self._peers_most or 1)]
+        return sorted({str(ring[(here + step) % len(ring)]["address"]) for step in steps})
+
     def _forget_silent(self) -> None:
         """Peers that control does not list and that have been silent for long."""
         now_ms, listed = self._world.now_ms(), {each["name"] for each in self.members}
@@ -236,7 +223,7 @@
 
     async def leave(self) -> None:
         """End the session cleanly, at every control node that may hold it."""
-        for address in self.controls:
+        for address in self.controls.addresses:
             try:
                 await self._book.ask(address, "session.leave", {"name": self.card["name"]}, BEAT_MS)
             except Mishap as mishap:
--- a/src/finchswitch/kinship/sessions.py
+++ b/src/finchswitch/kinship/sessions.py
@@ -11,6 +11,7 @@
 
 from finchswitch.charts import Walker, load_chart
 from finchswitch.constants import CONTROL_GRACE_MS, SESSION_SILENT_MS, TOLD_KEEP_MS
+from finchswitch.kinship.digest import merged
 from finchswitch.logs import prefix
 from finchswitch.wire import Message
 
@@ -58,6 +59,8 @@
     def __init__(self) -> None:
         self._own: dict[str, _Session] = {}
         self._told: dict[str, tuple[float, list[Message]]] = {}
+        self._words: dict[str, Message] = {}  # what nodes with a session here last said of burdens and crowds
+        self._digests: dict[str, tuple[float, Message]] = {}  # the same of other control nodes' nodes, merged
 
     def beat(self, name: str, beat: Message, line: str, now_ms: float) -> bool:
         """A node's beat; says whether anything others should hear of has changed."""
@@ -70,6 +73,25 @@
             _log.info("Session of {} stands.", name)
         return news
 
+    def hear_word(self, name: str, word: Message) -> None:
+        self._words[name] = word
+
+    def digest(self) -> Message:
+        """What the nodes whose sessions stand here say, as one."""
+        return merged(self._standing_words(""))
+
+    def _standing_words(self, but: str) -> list[Message]:
+        standing = {name for name, own in self._own.items() if own.walker.state is SessionState.STANDING}
+        return [word for name, word in sorted(self._words.items()) if name in standing and name != but]
+
+    def others(self, name: str, now_ms: float) -> Message:
+        """What all nodes but this one say, as one."""
+        fresh = [digest for at_ms, digest in self._digests.values() if now_ms - at_ms <= SESSION_SILENT_MS]
+        return merged([*self._standing_words(name), *fresh])
+
+    def told_digest(self, store: str, digest: Message, now_ms: float) -> None:
+        self._digests[store] = (now_ms, digest)
+
     def leave(self, name: str) -> None:
         session = self._own.get(name)
         if session is not None and session.walker.can(SessionEvent.LEAVE):
--- a/src/finchswitch/platform/settings.py
+++ b/src/finchswitch/platform/settings.py
@@ -10,7 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from finchswitch.bounds import Bounds
-from finchswitch.constants import DELIVERY_WAIT_MS, LIST_POLL_MS, REPLACE_AFTER_MS
+from finchswitch.constants import DELIVERY_WAIT_MS, LIST_POLL_MS, PEERS_MOST, REPLACE_AFTER_MS
 from finchswitch.programs.startup import Startup, address_faults
 
 __all__ = ["BOOT", "read_settings"]
@@ -110,6 +110,7 @@
         serves_alone=True,
         list_poll_ms=max(LIST_POLL_MS, 0.25 * bound("drain_ms")),
         list_shared=True,
+        peers_most=PEERS_MOST,
         vitals_poll_ms=0,
         tries_window_ms=1000 * bound("budget_window_s"),
         tries_fleet_floor=0.75 * bound("budget_extra"),
--- a/src/finchswitch/programs/cli.py
+++ b/src/finchswitch/programs/cli.py
@@ -188,11 +188,12 @@
 def hollow(
     nodes: Annotated[int, typer.Option(help="Hollow nodes before three control nodes.")] = 20,
     seed: Annotated[int, typer.Option(help="The seed.")] = 1,
+    peers: Annotated[int | None, typer.Option(help="Peers that a node beats at most; all of them otherwise.")] = None,
 ) -> None:
     """Run nodes that only keep their place, in virtual time, and print what each sends and how fast a change is."""
     from finchswitch.programs.rehearse import run_scale
 
-    raise typer.Exit(run_scale(nodes, seed))
+    raise typer.Exit(run_scale(nodes, seed, peers))
 
 
 def main() -> None:
--- a/src/finchswitch/programs/rehearse.py
+++ b/src/finchswitch/programs/rehearse.py
@@ -73,10 +73,10 @@
     return 0
 
 
-def run_scale(nodes: int, seed: int) -> int:
+def run_scale(nodes: int, seed: int, peers_most: int | None) -> int:
     if nodes < 2:
         typer.echo("nodes: two are the fewest that have a peer", err=True)
         return 2
     to_stderr("critical", "hollow")
-    typer.echo(json.dumps(run_hollow(HollowRun(nodes, seed=seed))))
+    typer.echo(json.dumps(run_hollow(HollowRun(nodes, seed=seed, peers_most=peers_most))))
     return 0
--- a/src/finchswitch/programs/transit.py
+++ b/src/finchswitch/programs/transit.py
@@ -37,7 +37,7 @@
         async for each in signals:
             if each is not signal.SIGHUP:
                 break
-            node.member.new_seeds(seeds())
+            node.member.controls.new_seeds(seeds())
     _log.info("Stopping; {} requests under way.", len(node.underway))
     await stop_node(node, stop, closed)
     group.cancel_scope.cancel()
--- a/src/finchswitch/rehearsal/hollow.py
+++ b/src/finchswitch/rehearsal/hollow.py
@@ -19,6 +19,7 @@
 from finchswitch.accord.asks import run_council
 from finchswitch.accord.change import take_change
 from finchswitch.accord.council import Council
+from finchswitch.bounds import Bounds
 from finchswitch.constants import CREED_PART
 from finchswitch.kinship.member import Member
 from finchswitch.logs import prefix
@@ -46,6 +47,7 @@
     watch_s: float = 4.0
     changes: int = 3
     seed: int = 1
+    peers_most: int | None = None  # None beats every peer
 
 
 class _CountedNet(Net):
@@ -81,19 +83,22 @@
         book, self.news = Book(world, group), NewsBook()
         card = {"name": startup.name, "address": startup.address, "http": startup.http, "district": startup.district}
         card["incarnation"] = world.chance.randbytes(6).hex()
-        self.member = Member(world, book, self.news, card, startup.seeds)
+        self.member = Member(world, book, self.news, card, startup.seeds, startup.bounds)
         self.follower = Follower(world, book, self.news, self.member)
 
     def speak(self) -> Message:
         empty: Message = {name: {} for name in ("burden", "held", "pace", "counts", "vitals")}
         return {**empty, "leaving": [], "listAgeMs": 0.0, "listMark": ""}
 
+    def digest(self) -> Message:
+        return {"burden": {}, "counts": {}}
+
     def hear(self, beat: Message, since_ms: float) -> None:
         """An empty word tells nothing."""
 
     async def run(self) -> None:
         async with serve_asks(self._world, self._startup.address, self.group) as inbox:
-            self.group.start_soon(self.member.keep_session)
+            self.group.start_soon(self.member.keep_session, self.digest)
             self.group.start_soon(self.member.beat_peers, self)
             self.group.start_soon(self.follower.follow)
             async for asked in inbox:
@@ -106,7 +111,7 @@
             return {**self.member.word(self), "list": []}
         if asked.kind == "news.follow":
             return await self.news.answer_follower(asked.body, asked.peer)
-        return {"plane": "routing", "controls": self.member.known_controls()}
+        return {"plane": "routing", "controls": self.member.controls.known()}
 
 
 async def _perform(run: HollowRun) -> dict[str, Any]:
@@ -119,7 +124,8 @@
             return SimWorld(net, net.machine(host), chance.getrandbits(32))
 
         def startup(name: str, host: str, zone: int) -> Startup:
-            return Startup(name, f"{host}:7100", f"{host}:8000", f"zone-{zone}", seeds)
+            place = (f"{host}:7100", f"{host}:8000", f"zone-{zone}")
+            return Startup(name, *place, seeds, bounds=Bounds(peers_most=run.peers_most))
 
         councils, nodes = [], []
         for at in range(run.controls):
--- a/src/finchswitch/relay/follow.py
+++ b/src/finchswitch/relay/follow.py
@@ -66,7 +66,7 @@
         parent = parent_of(self._member.card["name"], self._member.members)
         addresses = {each["name"]: each["address"] for each in self._member.members}
         choices = [addresses[parent]] if parent in addresses and not late else []
-        choices.extend([self._member.control] if self._member.control else [])
+        choices.extend([self._member.controls.chosen] if self._member.controls.chosen else [])
         if late:
             choices.extend(
                 beat["address"]
--- a/src/finchswitch/transit/asks.py
+++ b/src/finchswitch/transit/asks.py
@@ -13,7 +13,7 @@
 async def run_node(node: Node) -> None:
     """Run a routing node's planes until cancelled; callers are served beside it."""
     async with serve_asks(node.world, node.startup.address, node.group) as inbox:
-        node.group.start_soon(node.member.keep_session)
+        node.group.start_soon(node.member.keep_session, node.digest)
         node.group.start_soon(node.member.beat_peers, node)
         node.group.start_soon(node.follower.follow)
         node.group.start_soon(node.roster.poll, node.duties.reads_list)
@@ -34,6 +34,6 @@
         return await node.news.answer_follower(asked.body, asked.peer)
     if asked.kind == "peer.who":
         if asked.body.get("plane") == "control":
-            node.member.meet_control(field(asked.body, "address", str, asked.peer))
-        return {"plane": "routing", "controls": node.member.known_controls()}
+            node.member.controls.meet(field(asked.body, "address", str, asked.peer))
+        return {"plane": "routing", "controls": node.member.controls.known()}
     raise Mishap(MishapKind.BROKEN, "shape", asked.peer, f"unknown kind {asked.kind[:40]}")
--- a/src/finchswitch/transit/duties.py
+++ b/src/finchswitch/transit/duties.py
@@ -78,13 +78,18 @@
         """The keys there are now; a service that nobody calls has none, however many are configured."""
         creed = self._node.creed()
         called = set(self._node.crowds.called())
-        for beat in self._node.member.heard_peers():
+        for beat in self._told():
             called.update(beat["counts"])
         vitals = self._node.bounds.vitals_poll_ms > 0
         keys = [f"vitals/{name}" for name in creed.runners] if vitals else []
         keys += [f"hot/{name}" for name in sorted(called) if name in creed.services]
         return keys + [f"plan/{name}" for name in creed.plans]
 
+    def _told(self) -> list[Message]:
+        """What the other nodes count: each peer's word, or all of them as one."""
+        others = self._node.member.others
+        return self._node.member.heard_peers() if others is None else [others]
+
     def _fence(self, key: str) -> dict[str, Any] | None:
         record: dict[str, Any] | None = self._node.news.body(part_of(key)).get("fences", {}).get(key)
         return record
@@ -104,7 +109,7 @@
     async def _edit(self, key: str, guard: Any, edits: list[Message], also: list[Message] | None = None) -> None:
         guards = [{"kind": "fences", "name": key, "value": guard}, *(also or [])]
         body = {"part": part_of(key), "guards": guards, "edits": edits}
-        await self._node.book.ask(self._node.member.control, "part.edit", body, 2 * ASK_WAIT_MS)
+        await self._node.book.ask(self._node.member.controls.chosen, "part.edit", body, 2 * ASK_WAIT_MS)
 
     async def _do(self, key: str, fence: int) -> None:
         kind, _, name = key.partition("/")
@@ -132,7 +137,7 @@
     async def _merge_hot(self, key: str, name: str, fence: int) -> None:
         service, now_ms = self._node.creed().services[name], self._node.world.now_ms()
         _, shares = self._node.crowds.popularity(name).top(4 * HOT_MOST, now_ms)
-        for beat in self._node.member.heard_peers():
+        for beat in self._told():
             _, told = beat["counts"].get(name, (0.0, {}))
             for digest, share in told.items():
                 shares[digest] = shares.get(digest, 0.0) + share
--- a/src/finchswitch/transit/node.py
+++ b/src/finchswitch/transit/node.py
@@ -56,7 +56,7 @@
             "district": startup.district,
             "incarnation": world.chance.randbytes(6).hex(),
         }
-        self.member = Member(world, self.book, self.news, card, startup.seeds, self.bounds.serves_alone)
+        self.member = Member(world, self.book, self.news, card, startup.seeds, self.bounds)
         self.follower = Follower(world, self.book, self.news, self.member)
         client = httpx.AsyncClient(transport=world.http_transport(), trust_env=False)
         self.roster = Roster(world, lister(client, startup.platform), self, self.bounds, self.dialect.kept)
@@ -229,10 +229,16 @@
             "vitals": self.duties.words(),
         }
 
+    def digest(self) -> Message:
+        """What this node tells of burdens and crowds where the fleet is too large to tell everybody."""
+        return {"burden": self.burdens.spoken(self.world.now_ms()), "counts": self.crowds.called()}
+
     def hear(self, beat: Message, since_ms: float) -> None:
         """What a peer's answer to a beat of that moment added."""
         self.roster.hear_peer(beat, since_ms)
         self.duties.hear(beat["vitals"])
         heard = self.member.heard_peers()
-        self.burdens.hear_peers(heard, self.world.now_ms())
         self.beliefs.hear_peers(heard)
+        if self.member.others is not None:
+            heard = [{**self.member.others, "pace": {}}]
+        self.burdens.hear_peers(heard, self.world.now_ms())
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -148,7 +148,7 @@
 def without_fence(patch):
     async def edit(self, key, guard, edits, also=None):
         body = {"part": finchswitch.transit.duties.part_of(key), "guards": [], "edits": edits}
-        await self._node.book.ask(self._node.member.control, "part.edit", body, 1_000)
+        await self._node.book.ask(self._node.member.controls.chosen, "part.edit", body, 1_000)
 
     patch.setattr(finchswitch.transit.duties.Duties, "_edit", edit)
 
