Readers of a shared list back off when it cannot be read

Where one rate is shared by all nodes, each trying again after 75 ms would keep it exhausted; the pause now doubles, spread. The test counts 10 s of refusals: over 130 readings before, under 25 now.

--- a/src/finchswitch/transit/roster.py
+++ b/src/finchswitch/transit/roster.py
@@ -84,6 +84,7 @@
 
     async def poll(self, reads: Any) -> None:
         """Read the list again and again; ``reads()`` says whether it falls to this node to read for all."""
+        failed = 0
         while True:
             if self._bounds.list_shared and not reads() and self.list_age_ms() < self._patience_ms():
                 await self._world.sleep(self._bounds.list_poll_ms / 4)
@@ -93,12 +94,21 @@
                 listed = await self._lister.read(LIST_WAIT_MS)
             except Mishap as mishap:
                 _log.warning("The list cannot be read. {}", mishap)
-                await self._world.sleep(self._bounds.list_poll_ms / 10)
+                await self._world.sleep(self._again_ms(failed))
+                failed += 1
                 continue
+            failed = 0
             self.take(listed)
             self._read_ms = asked_ms
             await self._world.sleep(self._bounds.list_poll_ms)
 
+    def _again_ms(self, failed: int) -> float:
+        """The pause before a reading that failed is tried again; where many readers share a rate, longer each time."""
+        least_ms = self._bounds.list_poll_ms / 10
+        if not self._bounds.list_shared:
+            return least_ms
+        return least_ms * min(10.0, 2.0**failed) * (0.5 + self._world.chance.random())
+
     def _patience_ms(self) -> float:
         """How old a view by hearsay may grow before this node reads for itself; spread, so that not all do at once."""
         return self._bounds.list_poll_ms * (2.0 + self._world.chance.random())
--- a/tests/test_digest.py
+++ b/tests/test_digest.py
@@ -6,11 +6,13 @@
 import httpx
 
 from finchswitch.bounds import Bounds
+from finchswitch.mishap import Mishap
 from finchswitch.rehearsal.deployments import VILLAGE
 from finchswitch.rehearsal.hollow import HollowRun, run_hollow
 from finchswitch.rehearsal.play import in_virtual_time
 from finchswitch.rehearsal.scenes import open_up
 from finchswitch.rehearsal.theatre import Theatre
+from finchswitch.transit.roster import Roster
 
 
 class Large(Theatre):
@@ -73,3 +75,27 @@
         assert {each["name"] for each in node.member.members} == before
 
     play_large(scene)
+
+
+def test_readers_that_share_a_rate_wait_longer_each_time_the_list_cannot_be_read():
+    class Refusing:
+        def __init__(self):
+            self.at_ms = []
+
+        async def read(self, wait_ms):
+            self.at_ms.append(anyio.current_time() * 1000)
+            raise Mishap.silent("list", "platform", "429")
+
+    async def run():
+        async with anyio.create_task_group() as group:
+            theatre = Theatre(VILLAGE, 1, group)
+            lister = Refusing()
+            bounds = Bounds(list_shared=True, list_poll_ms=750.0)
+            group.start_soon(Roster(theatre.outside, lister, None, bounds).poll, lambda: True)
+            await anyio.sleep(10)
+            group.cancel_scope.cancel()
+        return lister.at_ms
+
+    at_ms = in_virtual_time(run, 1)
+    assert len(at_ms) < 25  # every 75 ms it would be more than 130
+    assert at_ms[1] - at_ms[0] < 150
