--- a/src/finchswitch/creed/check.py
+++ b/src/finchswitch/creed/check.py
@@ -24,14 +24,14 @@
     SPILL_SHARE_LEAST,
     TRIES_SHARE_MOST,
 )
-from finchswitch.creed.model import Binding, Creed, Plan, PlanStep, Repeat, Route, Runner, Service, Settings
+from finchswitch.creed.model import Binding, Creed, Kept, Plan, PlanStep, Repeat, Route, Runner, Service, Settings
 from finchswitch.creed.routes import check_routes
 
 __all__ = ["check_creed", "read_creed", "written"]
 
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._/-]{0,99}\Z")
 _KINDS: dict[str, type] = {"services": Service, "runners": Runner, "bindings": Binding, "routes": Route}
-_KINDS["plans"] = Plan
+_KINDS.update({"plans": Plan, "kept": Kept})
 
 _KINDS_OF_VALUE: dict[Any, str] = {
     int: "a whole number",
--- a/src/finchswitch/creed/model.py
+++ b/src/finchswitch/creed/model.py
@@ -22,7 +22,7 @@
     TRIES_SHARE,
 )
 
-__all__ = ["Binding", "Creed", "Plan", "PlanStep", "Repeat", "Route", "Runner", "Service", "Settings"]
+__all__ = ["Binding", "Creed", "Kept", "Plan", "PlanStep", "Repeat", "Route", "Runner", "Service", "Settings"]
 
 
 class PlanStep(Enum):
@@ -92,6 +92,13 @@
     runners: list[str]
 
 
+@dataclass
+class Kept:
+    """Something that operators keep here and that nothing acts on."""
+
+    origin: list[Any]
+
+
 @dataclass
 class Plan:
     """A move: these runners leave, those arrive, and these bindings follow."""
@@ -124,4 +131,5 @@
     bindings: dict[str, Binding] = field(default_factory=dict)
     routes: dict[str, Route] = field(default_factory=dict)
     plans: dict[str, Plan] = field(default_factory=dict)
+    kept: dict[str, Kept] = field(default_factory=dict)
     settings: Settings = field(default_factory=Settings)
--- a/src/finchswitch/platform/configuration.py
+++ b/src/finchswitch/platform/configuration.py
@@ -1,5 +1,6 @@
 """The operator's configuration documents, put into the product's configuration and back.
 
+What is not known here is kept and read back: an item of a list by the list's name and its own, anything else whole.
 Each entry keeps the item as it was sent, so that it reads back field for field. A wrong value goes through as it is and
 is named by the product's own checks.
 """
@@ -84,6 +85,7 @@
     return service
 
 
+_ALONE = ("revision", "limits")  # stand once, and are no lists of items
 _READERS = {"routes": route_of, "services": service_of}
 
 
@@ -103,6 +105,21 @@
     return wrong or entries
 
 
+def _kept(kind: str, value: Any) -> dict[str, Any]:
+    """Entries for what is not known here.
+
+    >>> _kept("tenants", [{"name": "a", "share": 2}])
+    {'tenants/a': {'origin': [{'name': 'a', 'share': 2}]}}
+    >>> _kept("note", "x"), _kept("zones", [])
+    ({'note': {'origin': ['x']}}, {'zones': {'origin': [[]]}})
+    """
+    listed = isinstance(value, list) and value and all(isinstance(each, dict) for each in value)
+    names = [each.get("name") for each in value] if listed else []
+    if not names or len(set(map(str, names))) < len(names) or not all(isinstance(each, str) for each in names):
+        return {kind: {"origin": [value]}}
+    return {f"{kind}/{each['name']}": {"origin": [each]} for each in value}
+
+
 def _settings(document: dict[str, Any]) -> dict[str, Any] | list[str]:
     revision, limits = document.get("revision"), document.get("limits")
     wrong = [] if type(revision) is int and revision >= 0 else ["revision: a whole number is needed"]
@@ -121,8 +138,11 @@
     """A whole configuration in the product's terms, or every fault that its shape has."""
     if not isinstance(document, dict):
         return Failure(["configuration: not an object"])
-    wrong = [f"{name}: no such field" for name in document if name not in ("revision", "limits", *_READERS)]
+    wrong: list[str] = []
     body: dict[str, Any] = {}
+    for name in document:
+        if name not in ("revision", "limits", *_READERS):
+            body.setdefault("kept", {}).update(_kept(name, document[name]))
     for kind in ("services", "routes"):
         read = _entries(kind, document.get(kind, []))
         wrong.extend(read) if isinstance(read, list) else body.update({kind: read})
@@ -135,24 +155,34 @@
     """Named changes as the product's edits."""
     if not isinstance(document, dict):
         return Failure(["configuration: not an object"])
-    wrong = [f"{name}: no such field" for name in document if name not in ("revision", "upsert", "remove", "limits")]
+    wrong: list[str] = []
     edits: list[dict[str, Any]] = []
+    for name in document:
+        if name in _READERS:
+            wrong.append(f"{name}: no such field of a change; it stands under upsert and remove")
+        elif name not in ("revision", "upsert", "remove", "limits"):
+            entries = _kept(name, document[name]).items()
+            edits += [{"kind": "kept", "name": each, "value": value} for each, value in entries]
     upsert, remove = document.get("upsert") or {}, document.get("remove") or {}
     if not isinstance(upsert, dict) or not isinstance(remove, dict):
         return Failure(["upsert, remove: objects are needed"])
     for kind, names in remove.items():
-        if kind not in _READERS or not isinstance(names, list) or not all(isinstance(each, str) for each in names):
-            wrong.append(f"remove.{kind}: a list of names of routes or services is needed")
+        if kind in _ALONE or not isinstance(names, list) or not all(isinstance(each, str) for each in names):
+            wrong.append(f"remove.{kind}: a list of names is needed")
             continue
         put = upsert.get(kind)
         kept = {str(each.get("name")) for each in put if isinstance(each, dict)} if isinstance(put, list) else set()
-        edits += [{"kind": kind, "name": each, "value": None, "gone": True} for each in names if each not in kept]
+        before = "" if kind in _READERS else f"{kind}/"
+        gone = {"kind": kind if kind in _READERS else "kept", "value": None, "gone": True}
+        edits += [{**gone, "name": f"{before}{each}"} for each in names if each not in kept]
     for kind, items in upsert.items():
-        read = _entries(kind, items) if kind in _READERS else [f"upsert.{kind}: no such kind"]
+        read = _entries(kind, items) if kind in _READERS else _kept(kind, items)
+        read = [f"upsert.{kind}: no list of items"] if kind in _ALONE else read
+        where = kind if kind in _READERS else "kept"
         if isinstance(read, list):
             wrong.extend(read)
         else:
-            edits += [{"kind": kind, "name": name, "value": value} for name, value in read.items()]
+            edits += [{"kind": where, "name": name, "value": value} for name, value in read.items()]
     settings = _settings(document)
     if isinstance(settings, list):
         wrong.extend(settings)
@@ -169,6 +199,12 @@
         document[kind] = [entry["origin"][0] for entry in body.get(kind, {}).values() if entry.get("origin")]
     if settings.get("origin"):
         document["limits"] = settings["origin"][0]
+    for name, entry in body.get("kept", {}).items():
+        kind, slash, _ = name.partition("/")
+        if slash:
+            document[kind] = [*document.get(kind, []), entry["origin"][0]]
+        else:
+            document.setdefault(kind, entry["origin"][0])
     return document
 
 
