--- a/src/finchswitch/constants.py
+++ b/src/finchswitch/constants.py
@@ -110,7 +110,6 @@
 SPEED_SHORT_TOKENS: Final = 600  # prompts up to this tell what a first token takes
 SPEED_LONG_TOKENS: Final = 2_000  # prompts from this on tell how fast a runner reads
 SPEED_TOKENS_A_MS: Final = 40.0  # of a present accelerator, until a long prompt showed it
-LEARNED_TOKENS_A_S: Final = 0  # stands for a runner whose speed is learned
 SMOOTH_SHARE: Final = 0.1  # weight of the newest observation in a running mean
 REPORT_TRUST_SHARE: Final = 0.5  # weight of a late report's excess over what the nodes themselves know
 
