--- a/src/finchswitch/creed/check.py
+++ b/src/finchswitch/configuration/check.py
@@ -1,7 +1,7 @@
 """Checking a configuration: every bad field is named, and one bad field refuses the whole.
 
-``read_creed`` turns plain JSON into a ``Creed`` or the list of what is wrong. It is used by the command line,
-by the control nodes before a change is proposed, and by the routing nodes when news arrives.
+``read_configuration`` turns plain JSON into a ``Configuration`` or the list of what is wrong. It is used by the
+command line, by the control nodes before a change is proposed, and by the routing nodes when news arrives.
 """
 
 import dataclasses
@@ -11,6 +11,19 @@
 
 from returns.result import Failure, Result, Success
 
+from finchswitch.configuration.model import (
+    Binding,
+    Configuration,
+    Kept,
+    Plan,
+    PlanStep,
+    Repeat,
+    Route,
+    Runner,
+    Service,
+    Settings,
+)
+from finchswitch.configuration.routes import check_routes
 from finchswitch.constants import (
     ANSWER_LEAST_MS,
     ANSWER_LONGEST_MS,
@@ -24,10 +37,8 @@
     SPILL_SHARE_LEAST,
     TRIES_SHARE_MOST,
 )
-from finchswitch.creed.model import Binding, Creed, Kept, Plan, PlanStep, Repeat, Route, Runner, Service, Settings
-from finchswitch.creed.routes import check_routes
 
-__all__ = ["check_creed", "read_creed", "written"]
+__all__ = ["check_configuration", "read_configuration", "written"]
 
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._/-]{0,99}\Z")
 _KINDS: dict[str, type] = {"services": Service, "runners": Runner, "bindings": Binding, "routes": Route}
@@ -46,20 +57,20 @@
 }
 
 
-def read_creed(raw: Any, before: tuple[Any, Creed] | None = None) -> Result[Creed, list[str]]:
+def read_configuration(raw: Any, before: tuple[Any, Configuration] | None = None) -> Result[Configuration, list[str]]:
     """Read and check plain JSON; entries that are the very objects of a configuration read before are not read again.
 
-    >>> read_creed({"services": {"m": {"dueMs": 0}}}).failure()
+    >>> read_configuration({"services": {"m": {"dueMs": 0}}}).failure()
     ['services.m.dueMs: 0 is not within 50 and 120000']
-    >>> read_creed({"sevrices": {}}).failure()
+    >>> read_configuration({"sevrices": {}}).failure()
     ['sevrices: no such kind of entry']
-    >>> read_creed({"runners": {"r": {"slots": True, "colour": 1}}, "settings": {"spillShare": 1}}).failure()
+    >>> read_configuration({"runners": {"r": {"slots": True, "colour": 1}}, "settings": {"spillShare": 1}}).failure()
     ['runners.r.colour: no such field', 'runners.r.slots: true is not a whole number']
     """
     if not isinstance(raw, dict):
         return Failure(["configuration: not an object"])
     wrong = [f"{kind}: no such kind of entry" for kind in raw if kind not in _KINDS and kind != "settings"]
-    creed, old = Creed(), before[0] if before else {}
+    configuration, old = Configuration(), before[0] if before else {}
     for kind, shape in _KINDS.items():
         entries = raw.get(kind, {})
         if not isinstance(entries, dict):
@@ -68,7 +79,7 @@
         earlier = old.get(kind, {})
         for name, value in entries.items():
             if before and earlier.get(name) is value:
-                getattr(creed, kind)[name] = getattr(before[1], kind)[name]
+                getattr(configuration, kind)[name] = getattr(before[1], kind)[name]
                 continue
             if not _NAME.match(name):
                 wrong.append(f"{kind}.{name[:100]}: not a name")
@@ -76,14 +87,14 @@
             if isinstance(read, list):
                 wrong.extend(read)
             else:
-                getattr(creed, kind)[name] = read
+                getattr(configuration, kind)[name] = read
     settings = _read(Settings, raw.get("settings", {}), "settings")
     if isinstance(settings, list):
         wrong.extend(settings)
     else:
-        creed.settings = settings
-    wrong.extend(check_creed(creed) if not wrong else [])
-    return Failure(wrong) if wrong else Success(creed)
+        configuration.settings = settings
+    wrong.extend(check_configuration(configuration) if not wrong else [])
+    return Failure(wrong) if wrong else Success(configuration)
 
 
 def _read(shape: type, value: Any, where: str) -> Any:
@@ -128,50 +139,50 @@
     return type(value) is kind
 
 
-def check_creed(creed: Creed) -> list[str]:
+def check_configuration(configuration: Configuration) -> list[str]:
     """What is wrong between the entries, and numbers out of range."""
     wrong: list[str] = []
-    _range(wrong, "settings.triesShare", creed.settings.tries_share, 0, TRIES_SHARE_MOST)
-    _range(wrong, "settings.spillShare", creed.settings.spill_share, SPILL_SHARE_LEAST, 1)
-    _range(wrong, "settings.answerMostMs", creed.settings.answer_most_ms, ANSWER_LEAST_MS, ANSWER_LONGEST_MS)
-    for name, service in creed.services.items():
+    _range(wrong, "settings.triesShare", configuration.settings.tries_share, 0, TRIES_SHARE_MOST)
+    _range(wrong, "settings.spillShare", configuration.settings.spill_share, SPILL_SHARE_LEAST, 1)
+    _range(wrong, "settings.answerMostMs", configuration.settings.answer_most_ms, ANSWER_LEAST_MS, ANSWER_LONGEST_MS)
+    for name, service in configuration.services.items():
         _range(wrong, f"services.{name}.dueMs", service.due_ms, DUE_LEAST_MS, DUE_MOST_MS)
         _range(wrong, f"services.{name}.slots", service.slots, 1, SLOTS_MOST)
         _range(wrong, f"services.{name}.hotMost", service.hot_most, 0, HOT_SET_MOST)
         _range(wrong, f"services.{name}.hotEnterShare", service.hot_enter_share, HOT_SHARE_LEAST, HOT_SHARE_MOST)
         _range(wrong, f"services.{name}.hotLeaveShare", service.hot_leave_share, 0, service.hot_enter_share)
-    for name, runner in creed.runners.items():
+    for name, runner in configuration.runners.items():
         _range(wrong, f"runners.{name}.slots", runner.slots, 1, SLOTS_MOST)
         _range(wrong, f"runners.{name}.prefillTokensPerS", runner.prefill_tokens_per_s, 1, PREFILL_MOST_TOKENS_A_S)
     bound: dict[str, str] = {}
-    for name, binding in creed.bindings.items():
+    for name, binding in configuration.bindings.items():
         where = f"bindings.{name}"
-        if binding.service not in creed.services:
+        if binding.service not in configuration.services:
             wrong.append(f"{where}.service: unknown service {binding.service}")
         if binding.service in bound:
             wrong.append(f"{where}.service: {binding.service} is bound by {bound[binding.service]} already")
         bound[binding.service] = name
-        _runners(wrong, f"{where}.runners", binding.runners, creed)
+        _runners(wrong, f"{where}.runners", binding.runners, configuration)
         if not binding.runners:
             wrong.append(f"{where}.runners: empty")
-    wrong.extend(check_routes(creed))
-    _check_plans(wrong, creed)
+    wrong.extend(check_routes(configuration))
+    _check_plans(wrong, configuration)
     return wrong
 
 
-def _check_plans(wrong: list[str], creed: Creed) -> None:
+def _check_plans(wrong: list[str], configuration: Configuration) -> None:
     moved: dict[str, str] = {}
-    for name, plan in creed.plans.items():
+    for name, plan in configuration.plans.items():
         where = f"plans.{name}"
-        _runners(wrong, f"{where}.leaving", plan.leaving, creed)
-        _runners(wrong, f"{where}.arriving", plan.arriving, creed)
+        _runners(wrong, f"{where}.leaving", plan.leaving, configuration)
+        _runners(wrong, f"{where}.arriving", plan.arriving, configuration)
         for both in sorted(set(plan.leaving) & set(plan.arriving)):
             wrong.append(f"{where}.arriving: {both} leaves by the same plan")
         for binding in plan.bindings:
-            if binding not in creed.bindings:
+            if binding not in configuration.bindings:
                 wrong.append(f"{where}.bindings: unknown binding {binding}")
                 continue
-            stays = (set(creed.bindings[binding].runners) - set(plan.leaving)) | set(plan.arriving)
+            stays = (set(configuration.bindings[binding].runners) - set(plan.leaving)) | set(plan.arriving)
             if not stays:
                 wrong.append(f"{where}.leaving: binding {binding} would have no runner left")
         if plan.step is not PlanStep.ABANDONED:
@@ -185,9 +196,9 @@
         wrong.append(f"{where}: {value} is not within {least} and {most}")
 
 
-def _runners(wrong: list[str], where: str, names: list[str], creed: Creed) -> None:
+def _runners(wrong: list[str], where: str, names: list[str], configuration: Configuration) -> None:
     for name in names:
-        if name not in creed.runners:
+        if name not in configuration.runners:
             wrong.append(f"{where}: unknown runner {name}")
     for name in sorted({each for each in names if names.count(each) > 1}):
         wrong.append(f"{where}: {name} stands twice")
--- a/src/finchswitch/creed/model.py
+++ b/src/finchswitch/configuration/model.py
@@ -22,7 +22,7 @@
     TRIES_SHARE,
 )
 
-__all__ = ["Binding", "Creed", "Kept", "Plan", "PlanStep", "Repeat", "Route", "Runner", "Service", "Settings"]
+__all__ = ["Binding", "Configuration", "Kept", "Plan", "PlanStep", "Repeat", "Route", "Runner", "Service", "Settings"]
 
 
 class PlanStep(Enum):
@@ -125,7 +125,7 @@
 
 
 @dataclass
-class Creed:
+class Configuration:
     services: dict[str, Service] = field(default_factory=dict)
     runners: dict[str, Runner] = field(default_factory=dict)
     bindings: dict[str, Binding] = field(default_factory=dict)
--- a/src/finchswitch/creed/routes.py
+++ b/src/finchswitch/configuration/routes.py
@@ -7,8 +7,8 @@
 import hashlib
 from collections.abc import Iterator
 
+from finchswitch.configuration.model import Configuration
 from finchswitch.constants import ROUTE_RUNNERS_MOST, TIMEOUT_MOST_MS, WEIGHT_MOST
-from finchswitch.creed.model import Creed
 
 __all__ = ["RouteTable", "check_routes", "pick_target"]
 
@@ -16,15 +16,15 @@
 class RouteTable:
     """The routes of one configuration, by host and prefix."""
 
-    def __init__(self, creed: Creed) -> None:
-        self._names = {(route.host.lower(), route.prefix): name for name, route in creed.routes.items()}
+    def __init__(self, configuration: Configuration) -> None:
+        self._names = {(route.host.lower(), route.prefix): name for name, route in configuration.routes.items()}
 
     def find(self, host: str, path: str) -> str | None:
         """The name of the route, or None.
 
-        >>> from finchswitch.creed.model import Route
+        >>> from finchswitch.configuration.model import Route
         >>> routes = {"a": Route("h.example", "/x/", {"s": 1}, 9), "b": Route("h.example", "/x/y/", {"s": 1}, 9)}
-        >>> table = RouteTable(Creed(routes=routes))
+        >>> table = RouteTable(Configuration(routes=routes))
         >>> [table.find("H.example:80", path) for path in ("/x/z", "/x/y/", "/x/y", "/x", "/")]
         ['a', 'b', 'a', None, None]
         """
@@ -43,11 +43,11 @@
         at = path.rfind("/", 0, at)
 
 
-def check_routes(creed: Creed) -> list[str]:
+def check_routes(configuration: Configuration) -> list[str]:
     """What is wrong with the routes, each named by its field."""
     wrong: list[str] = []
     seen: dict[tuple[str, str], str] = {}
-    for name, route in creed.routes.items():
+    for name, route in configuration.routes.items():
         where = f"routes.{name}"
         if not (route.prefix.startswith("/") and route.prefix.endswith("/")):
             wrong.append(f"{where}.prefix: a path that begins and ends with a slash is needed")
@@ -55,7 +55,7 @@
         if other != name:
             wrong.append(f"{where}.prefix: {other} has the same host and prefix")
         for service, weight in route.targets.items():
-            if service not in creed.services:
+            if service not in configuration.services:
                 wrong.append(f"{where}.targets: unknown service {service}")
             if not 0 <= weight <= WEIGHT_MOST:
                 wrong.append(f"{where}.targets.{service}: {weight} is not within 0 and {WEIGHT_MOST}")
--- a/src/finchswitch/constants.py
+++ b/src/finchswitch/constants.py
@@ -1,7 +1,7 @@
 """Every number the fleet runs by, in one place, each with its unit in the name and its reason beside it.
 
 Names end in MS (milliseconds), BYTES, TOKENS, SHARE (a fraction of one) or are plain counts. Values that an
-operator may change live in the configuration (see ``creed``); what stands here is agreed by all processes of
+operator may change live in the configuration (see ``configuration``); what stands here is agreed by all processes of
 a fleet, since they judge each other's silence by it.
 """
 
@@ -9,9 +9,9 @@
 
 # Formats: what this version writes, and the highest that it reads. A new one is first read everywhere, then written.
 WIRE_FORMAT: Final = 1  # of frames between the fleet's processes
-WIRE_READS: Final = 1  # a frame of a higher format is answered with a mishap that says so
-SHELF_FORMAT: Final = 1  # of files in the data folder
-SHELF_READS: Final = 1  # a process that finds a higher format ends and leaves the folder as it is
+WIRE_READS: Final = 1  # a frame of a higher format is answered with an error that says so
+STORAGE_FORMAT: Final = 1  # of files in the data folder
+STORAGE_READS: Final = 1  # a process that finds a higher format ends and leaves the folder as it is
 
 # Wire
 FRAME_MOST_BYTES: Final = 24 * 1024 * 1024  # a configuration of some ten thousand bindings, with room
@@ -33,7 +33,7 @@
 
 # Accord
 PARTS: Final = 4  # parts for services; few services today, a handful keeps owners spread over three cores
-CREED_PART: Final = "creed"  # the part that holds the configuration
+CONFIGURATION_PART: Final = "creed"  # the part that holds the configuration
 PREPARE_WAIT_MS: Final = 500  # a ballot waits this long for its majority
 ACCEPT_WAIT_MS: Final = 900  # a commit waits this long, then its fate is unknown
 STAND_PAUSE_MS: Final = 100  # pause before standing again, spread by up to as much, so rivals miss each other
@@ -46,8 +46,8 @@
 OWNER_WAIT_MS: Final = 1_500  # how long a change waits for an owner to stand before 503
 CHANGE_MOST_BYTES: Final = 4 * 1024 * 1024  # as its operator sends it
 CHANGE_WORDED_MOST_BYTES: Final = 3 * CHANGE_MOST_BYTES  # half a frame: beside the rest, and beside how it was sent
-SHELF_SLOW_MS: Final = 400  # a sync slower than this is a refusal to vote
-SHELF_KEEP: Final = 2  # versions kept of one file; only the newest counts, the other is for people
+STORAGE_SLOW_MS: Final = 400  # a sync slower than this is a refusal to vote
+STORAGE_KEEP: Final = 2  # versions kept of one file; only the newest counts, the other is for people
 
 # Relay
 FANOUT: Final = 3  # children a node: eight nodes need two steps
@@ -66,7 +66,7 @@
 VITALS_POLL_MS: Final = 500  # runners report late anyway; faster reading shows nothing new
 VITALS_OLD_MS: Final = 3_000  # a report older than this no longer counts
 PROOF_WAIT_MS: Final = 1_000  # connecting and proving an identity
-RUNNER_SILENT_MS: Final = 10_000  # between pieces; a runner dark for this long is a mishap
+RUNNER_SILENT_MS: Final = 10_000  # between pieces; a runner dark for this long is an error
 FORGET_MS: Final = 60_000  # what is unlisted or silent this long is forgotten, so that memory stays bounded
 WATCH_MS: Final = 50  # between two looks at the tries under way; short against any aim
 SILENCE_LEAST_MS: Final = 300  # a runner that sends nothing for less is only working
--- a/src/finchswitch/accord/acceptor.py
+++ b/src/finchswitch/control/acceptor.py
@@ -1,17 +1,17 @@
 """An acceptor: one store's vote in one part.
 
-A promise or an accepted document is on the shelf, synced, before the answer says yes. A sync that fails or is
+A promise or an accepted document is on the versions, synced, before the answer says yes. A sync that fails or is
 slow is a no. An acceptor that does not stand in the part's group has no vote there.
 """
 
 from typing import Any
 
-from finchswitch.accord.document import Ballot, Document, grow
-from finchswitch.constants import SHELF_SLOW_MS
+from finchswitch.constants import STORAGE_SLOW_MS
+from finchswitch.control.document import Ballot, Document, grow
+from finchswitch.errors import ErrorKind, FleetError
 from finchswitch.logs import prefix
-from finchswitch.mishap import Mishap, MishapKind
-from finchswitch.shelf import Shelf
-from finchswitch.wire import World
+from finchswitch.storage import VersionedFile
+from finchswitch.transport import World
 
 __all__ = ["Acceptor", "read_ballot"]
 
@@ -20,23 +20,23 @@
 
 
 def read_ballot(value: Any) -> Ballot:
-    """A ballot as it comes off the wire or the shelf.
+    """A ballot as it comes off the wire or the versions.
 
     >>> read_ballot([3, "a"])
     (3, 'a')
     """
     if not isinstance(value, (list, tuple)) or len(value) != 2 or not isinstance(value[0], int):
-        raise Mishap(MishapKind.BROKEN, "ballot", "peer", f"{value!r} is no ballot")
+        raise FleetError(ErrorKind.BROKEN, "ballot", "peer", f"{value!r} is no ballot")
     return value[0], str(value[1])
 
 
 class Acceptor:
-    def __init__(self, world: World, store: str, part: str, shelf: Shelf) -> None:
-        self._world, self._store, self._part, self._shelf = world, store, part, shelf
+    def __init__(self, world: World, store: str, part: str, versions: VersionedFile) -> None:
+        self._world, self._store, self._part, self._versions = world, store, part, versions
         self.promised: Ballot = _NONE
         self.ballot: Ballot = _NONE
         self.document: Document | None = None
-        kept = shelf.newest()
+        kept = versions.newest()
         if kept is not None:
             self.promised, self.ballot = read_ballot(kept["promised"]), read_ballot(kept["ballot"])
             self.document = kept["document"]
@@ -55,7 +55,7 @@
 
     def prepare(self, ballot: Ballot) -> dict[str, Any]:
         if not self.votes():
-            raise Mishap(MishapKind.REFUSED, "prepare", self._part, "this store has no vote here")
+            raise FleetError(ErrorKind.REFUSED, "prepare", self._part, "this store has no vote here")
         if ballot > self.promised:
             self._keep(ballot, self.ballot, self.document)
         yes = ballot == self.promised
@@ -70,7 +70,7 @@
                 return {"yes": False, "promised": self.promised, "lacks": True}
             document = grow(self.document, delta)
         if document is None or self._store not in [*document["group"], *document["former"]]:
-            raise Mishap(MishapKind.REFUSED, "accept", self._part, "this store has no vote here")
+            raise FleetError(ErrorKind.REFUSED, "accept", self._part, "this store has no vote here")
         held = self.document
         if held is not None and self.ballot == ballot and held["step"] > document["step"]:
             return {"yes": False, "promised": self.promised, "lacks": False}
@@ -79,8 +79,8 @@
 
     def _keep(self, promised: Ballot, ballot: Ballot, document: Document | None) -> None:
         before = self._world.now_ms()
-        self._shelf.put({"promised": promised, "ballot": ballot, "document": document})
+        self._versions.put({"promised": promised, "ballot": ballot, "document": document})
         took_ms = self._world.now_ms() - before
         self.promised, self.ballot, self.document = promised, ballot, document
-        if took_ms > SHELF_SLOW_MS:
-            raise Mishap(MishapKind.FULL, "sync", self._part, f"took {took_ms:.0f} ms, too slow for a yes")
+        if took_ms > STORAGE_SLOW_MS:
+            raise FleetError(ErrorKind.FULL, "sync", self._part, f"took {took_ms:.0f} ms, too slow for a yes")
--- a/src/finchswitch/accord/change.py
+++ b/src/finchswitch/control/changes.py
@@ -11,20 +11,20 @@
 
 from returns.result import Failure
 
-from finchswitch.accord.council import Council
-from finchswitch.accord.document import Document, digest_of, succeed
+from finchswitch.configuration import apply_edits, read_configuration
 from finchswitch.constants import (
     ACCEPT_WAIT_MS,
     CHANGE_WAIT_MS,
     CHANGE_WORDED_MOST_BYTES,
-    CREED_PART,
+    CONFIGURATION_PART,
     DELIVERY_LOOK_MS,
     OWNER_WAIT_MS,
 )
-from finchswitch.creed import apply_edits, read_creed
+from finchswitch.control.control_node import ControlNode
+from finchswitch.control.document import Document, digest_of, succeed
+from finchswitch.errors import ErrorKind, FleetError
 from finchswitch.logs import prefix
-from finchswitch.mishap import Mishap, MishapKind
-from finchswitch.wire import Message, field
+from finchswitch.transport import Message, field
 
 __all__ = ["confirm_current", "edit_part", "take_change"]
 
@@ -38,37 +38,37 @@
     return {"status": status, **rest}
 
 
-async def take_change(council: Council, change: Message) -> Message:
+async def take_change(control: ControlNode, change: Message) -> Message:
     """Take an operator's change, as owner or through the owner."""
-    answer = await _take(council, change)
+    answer = await _take(control, change)
     if answer["status"] == 503 and change.get("again") is True:
         return _answer(504, reason=f"what became of an earlier sending is unknown; this one: {answer['reason']}")
     return answer
 
 
-async def _take(council: Council, change: Message) -> Message:
+async def _take(control: ControlNode, change: Message) -> Message:
     wrong = _shape(change)
     if wrong:
         return _answer(422, wrong=wrong)
     if len(json.dumps(change)) > CHANGE_WORDED_MOST_BYTES:
         return _answer(413, reason=f"a change may have {CHANGE_WORDED_MOST_BYTES} bytes as the fleet keeps it")
-    until_ms = council.world.now_ms() + OWNER_WAIT_MS
+    until_ms = control.world.now_ms() + OWNER_WAIT_MS
     while True:
-        owner, _ = council.owner_of(CREED_PART, council.world.now_ms())
-        if owner == council.store.store:
-            return await _as_owner(council, change)
+        owner, _ = control.owner_of(CONFIGURATION_PART, control.world.now_ms())
+        if owner == control.store.store:
+            return await _as_owner(control, change)
         if owner and change.get("passed") is not True:
-            address = council.kindred.by_store[owner].address
+            address = control.control_peers.by_store[owner].address
             try:
-                return await council.book.ask(address, "change", {**change, "passed": True}, CHANGE_WAIT_MS)
-            except Mishap as mishap:
-                _log.info("A change passed on is without answer. {}", mishap)
-                if mishap.reason == "connection refused":
+                return await control.book.ask(address, "change", {**change, "passed": True}, CHANGE_WAIT_MS)
+            except FleetError as error:
+                _log.info("A change passed on is without answer. {}", error)
+                if error.reason == "connection refused":
                     return _answer(503, reason="the owner is gone; surely not taken")
                 return _answer(504, reason="the owner did not answer; ask again with the same change id")
-        if council.world.now_ms() > until_ms:
+        if control.world.now_ms() > until_ms:
             return _answer(503, reason="no owner for the configuration; surely not taken")
-        await council.world.sleep(DELIVERY_LOOK_MS)
+        await control.world.sleep(DELIVERY_LOOK_MS)
 
 
 def _shape(change: Message) -> list[str]:
@@ -91,16 +91,16 @@
     return wrong
 
 
-async def _as_owner(council: Council, change: Message) -> Message:
-    register = council.registers[CREED_PART]
+async def _as_owner(control: ControlNode, change: Message) -> Message:
+    proposer = control.proposers[CONFIGURATION_PART]
     digest = digest_of([*_base(change), change.get("configuration"), change.get("edits")])
-    while register.owns() and register.document is not None:
-        document = register.document
+    while proposer.owns() and proposer.document is not None:
+        document = proposer.document
         for identity, known, generation in document["recent"]:
             if identity == change["changeId"]:
                 if known != digest:
                     return _answer(422, wrong=["changeId: used before for another change"])
-                return await _delivered(council, generation)
+                return await _delivered(control, generation)
         held = document["body"].get("settings", {}).get("revision", 0)
         if change.get("base", document["generation"]) != document["generation"]:
             return _answer(409, generation=document["generation"], reason="built on another generation")
@@ -109,7 +109,7 @@
         edited = _edited(document, change)
         if isinstance(edited, list):
             return _answer(422, wrong=edited)
-        checked = read_creed(edited)
+        checked = read_configuration(edited)
         if isinstance(checked, Failure):
             return _answer(422, wrong=checked.failure())
         revision = checked.unwrap().settings.revision
@@ -117,15 +117,15 @@
             return _answer(422, wrong=[f"settings.revision: {revision} is not above {held}"])
         recent = [change["changeId"], digest, document["generation"] + 1]
         try:
-            await register.commit(document, succeed(document, edited, recent, document["group"]))
-        except Mishap as mishap:
-            _log.warning("Change {} was not committed. {}", change["changeId"], mishap)
-            if mishap.kind is MishapKind.REFUSED:
+            await proposer.commit(document, succeed(document, edited, recent, document["group"]))
+        except FleetError as error:
+            _log.warning("Change {} was not committed. {}", change["changeId"], error)
+            if error.kind is ErrorKind.REFUSED:
                 continue  # another commit came first: judge anew, or find that this node no longer owns
             return _answer(504, reason="fate unknown; ask again with the same change id")
-        council.announce(CREED_PART)
+        control.announce(CONFIGURATION_PART)
         _log.info("Generation {} committed by change {}.", recent[2], change["changeId"])
-        return await _delivered(council, recent[2])
+        return await _delivered(control, recent[2])
     return _answer(503, reason="the owner fell before the change was proposed; surely not taken")
 
 
@@ -141,62 +141,62 @@
     return edited.failure() if isinstance(edited, Failure) else edited.unwrap()
 
 
-async def _delivered(council: Council, generation: int) -> Message:
-    until_ms = council.world.now_ms() + council.bounds.delivery_wait_ms
+async def _delivered(control: ControlNode, generation: int) -> Message:
+    until_ms = control.world.now_ms() + control.bounds.delivery_wait_ms
     while True:
-        now_ms = council.world.now_ms()
-        lacking, known = council.sessions.lacking(CREED_PART, generation, now_ms)
+        now_ms = control.world.now_ms()
+        lacking, known = control.sessions.lacking(CONFIGURATION_PART, generation, now_ms)
         if not lacking:
             return _answer(200, generation=generation, nodes=known)
         if now_ms > until_ms:
             return _answer(202, generation=generation, lacking=lacking)
-        await council.world.sleep(DELIVERY_LOOK_MS)
+        await control.world.sleep(DELIVERY_LOOK_MS)
 
 
-async def edit_part(council: Council, body: Message) -> Message:
+async def edit_part(control: ControlNode, body: Message) -> Message:
     """Edit a service's part, if what the guards name still stands so: ledgers, fences, plans."""
     part = field(body, "part", str)
-    if part == CREED_PART or part not in council.registers:
-        raise Mishap.refused("edit", part, "no such part for ledgers")
-    owner, _ = council.owner_of(part, council.world.now_ms())
-    if owner != council.store.store:
+    if part == CONFIGURATION_PART or part not in control.proposers:
+        raise FleetError.refused("edit", part, "no such part for ledgers")
+    owner, _ = control.owner_of(part, control.world.now_ms())
+    if owner != control.store.store:
         if not owner or body.get("passed") is True:
-            raise Mishap.refused("edit", part, "no owner here")
-        address = council.kindred.by_store[owner].address
-        return await council.book.ask(address, "part.edit", {**body, "passed": True}, ACCEPT_WAIT_MS)
-    register = council.registers[part]
-    while (document := register.document) is not None and register.owns():
+            raise FleetError.refused("edit", part, "no owner here")
+        address = control.control_peers.by_store[owner].address
+        return await control.book.ask(address, "part.edit", {**body, "passed": True}, ACCEPT_WAIT_MS)
+    proposer = control.proposers[part]
+    while (document := proposer.document) is not None and proposer.owns():
         for guard in field(body, "guards", list):
             held = document["body"].get(guard["kind"], {}).get(guard["name"])
             if held != guard["value"]:
                 return {"taken": False, "held": held}
         edited = apply_edits(document["body"], field(body, "edits", list))
         if isinstance(edited, Failure):
-            raise Mishap.refused("edit", part, "; ".join(edited.failure()))
+            raise FleetError.refused("edit", part, "; ".join(edited.failure()))
         try:
-            await register.commit(document, succeed(document, edited.unwrap(), None, document["group"]))
-        except Mishap as mishap:
-            if mishap.kind is not MishapKind.REFUSED:
+            await proposer.commit(document, succeed(document, edited.unwrap(), None, document["group"]))
+        except FleetError as error:
+            if error.kind is not ErrorKind.REFUSED:
                 raise
             continue  # another edit came first: look at the guards again
-        council.announce(part)
+        control.announce(part)
         return {"taken": True}
-    raise Mishap.refused("edit", part, "no owner here, or it has only just stood")
+    raise FleetError.refused("edit", part, "no owner here, or it has only just stood")
 
 
-async def confirm_current(council: Council, passed: bool = False) -> Message:
+async def confirm_current(control: ControlNode, passed: bool = False) -> Message:
     """The configuration as a majority confirms it to be the newest, or 503 when no owner can say so."""
-    owner, _ = council.owner_of(CREED_PART, council.world.now_ms())
-    register = council.registers[CREED_PART]
-    if owner and owner != council.store.store and not passed:
+    owner, _ = control.owner_of(CONFIGURATION_PART, control.world.now_ms())
+    proposer = control.proposers[CONFIGURATION_PART]
+    if owner and owner != control.store.store and not passed:
         try:
-            return await council.book.ask(council.kindred.by_store[owner].address, "current", {}, ACCEPT_WAIT_MS)
-        except Mishap as mishap:
-            return _answer(503, reason=f"the owner cannot be asked: {mishap}")
-    document = register.document
-    if not register.owns() or document is None:
+            return await control.book.ask(control.control_peers.by_store[owner].address, "current", {}, ACCEPT_WAIT_MS)
+        except FleetError as error:
+            return _answer(503, reason=f"the owner cannot be asked: {error}")
+    document = proposer.document
+    if not proposer.owns() or document is None:
         return _answer(503, reason="no owner for the configuration")
-    if not await register.check():
+    if not await proposer.check():
         return _answer(503, reason="the owner cannot reach a majority")
     body = {"generation": document["generation"], "current": True, "configuration": document["body"]}
     return _answer(200, **body)
--- a/src/finchswitch/accord/council.py
+++ b/src/finchswitch/control/control_node.py
@@ -1,6 +1,6 @@
-"""A control node: its store, its kin, the sessions it holds, and the registers it may own.
+"""A control node: its store, its control_peer, the sessions it holds, and the proposers it may own.
 
-The council beats to the other control nodes, answers what they and the routing nodes ask, and says who owns a
+The control beats to the other control nodes, answers what they and the routing nodes ask, and says who owns a
 part and how current its own knowledge is. What is committed becomes news. Standing, founding and swapping are
 in ``tending``, votes in ``voting``, changes in ``change``.
 """
@@ -10,43 +10,43 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from finchswitch.accord.acceptor import read_ballot
-from finchswitch.accord.document import Ballot, Document, part_names
-from finchswitch.accord.register import Register, majority
-from finchswitch.accord.store import Store
-from finchswitch.accord.voting import Chamber
 from finchswitch.bounds import Bounds
 from finchswitch.constants import ASK_WAIT_MS, BEAT_MS, CONTROL_SILENT_MS
-from finchswitch.kinship.kin import Kin, Kindred
-from finchswitch.kinship.sessions import Sessions
-from finchswitch.kinship.tempo import Tempo
+from finchswitch.control.acceptor import read_ballot
+from finchswitch.control.document import Ballot, Document, part_names
+from finchswitch.control.proposer import Proposer, majority
+from finchswitch.control.replicas import Replicas
+from finchswitch.control.store import Store
+from finchswitch.distribution import NewsBook
+from finchswitch.errors import FleetError
 from finchswitch.logs import prefix
-from finchswitch.mishap import Mishap
-from finchswitch.relay import NewsBook
-from finchswitch.shelf import Disk
-from finchswitch.wire import Book, Message, World, field, reading
+from finchswitch.membership.control_peers import ControlPeer, ControlPeers
+from finchswitch.membership.sessions import Sessions
+from finchswitch.membership.tempo import Tempo
+from finchswitch.storage import Disk
+from finchswitch.transport import Book, Message, World, field, reading
 
-__all__ = ["Council"]
+__all__ = ["ControlNode"]
 
 _log = prefix("accord")
 
 
-class Council:
+class ControlNode:
     def __init__(self, world: World, disk: Disk, startup: Any, group: TaskGroup) -> None:
         self.world, self.startup, self.group = world, startup, group
         self.started_ms = world.now_ms()
         self.bounds: Bounds = startup.bounds
         self.group_size = 2 * self.bounds.tolerance + 1  # acceptors a part: a majority is left after the losses
         self.store = Store(world, disk, startup.name)
-        self.kindred = Kindred(startup.address, startup.seeds)
+        self.control_peers = ControlPeers(startup.address, startup.seeds)
         self.sessions = Sessions()
         self.news = NewsBook()
         self.book = Book(world, group)
         self.tempo = Tempo(world)
-        self.chamber = Chamber(self.store, self.kindred, self.book, group)
-        self.registers = {part: Register(part, self.store.store, self.chamber) for part in part_names()}
+        self.replicas = Replicas(self.store, self.control_peers, self.book, group)
+        self.proposers = {part: Proposer(part, self.store.store, self.replicas) for part in part_names()}
         for part, acceptor in self.store.acceptors.items():
-            self.registers[part].highest = acceptor.promised[0]
+            self.proposers[part].highest = acceptor.promised[0]
 
     def publish(self, part: str, document: Document) -> None:
         if self.news.take(part, document["generation"], document["body"]):
@@ -54,47 +54,47 @@
 
     def announce(self, part: str) -> None:
         """Tell the group that what this owner just had accepted is committed."""
-        register = self.registers[part]
-        document = register.document
+        proposer = self.proposers[part]
+        document = proposer.document
         if document is None:
             return
         self.publish(part, document)
-        body = {"part": part, "ballot": register.ballot, "step": document["step"]}
+        body = {"part": part, "ballot": proposer.ballot, "step": document["step"]}
         back, _ = anyio.create_memory_object_stream[Any](16)
         for store in document["group"]:
             if store != self.store.store:
-                self.chamber.later(store, "vote.commit", body, ASK_WAIT_MS, back)
+                self.replicas.later(store, "vote.commit", body, ASK_WAIT_MS, back)
 
     def owner_of(self, part: str, now_ms: float) -> tuple[str, Ballot]:
         """The store that claims the part by the highest ballot, among those alive; empty when none does."""
         best: tuple[Ballot, str] = ((0, ""), "")
-        if self.registers[part].owns():
-            best = (self.registers[part].ballot, self.store.store)
-        for kin in self.kindred.alive(now_ms):
-            if part in kin.owns:
-                best = max(best, (read_ballot(kin.owns[part]["ballot"]), kin.store))
+        if self.proposers[part].owns():
+            best = (self.proposers[part].ballot, self.store.store)
+        for control_peer in self.control_peers.alive(now_ms):
+            if part in control_peer.owns:
+                best = max(best, (read_ballot(control_peer.owns[part]["ballot"]), control_peer.store))
         return best[1], best[0]
 
     def confirmed(self, part: str, now_ms: float) -> bool:
         """As owner: whether a majority lately answered that no higher ballot is promised there."""
-        register = self.registers[part]
-        if not register.owns() or register.document is None:
+        proposer = self.proposers[part]
+        if not proposer.owns() or proposer.document is None:
             return False
-        yes = {self.store.store} if self.store.acceptors[part].promised == register.ballot else set[str]()
-        for kin in self.kindred.by_store.values():
-            lately = now_ms - kin.asked_ms <= CONTROL_SILENT_MS
-            if lately and kin.promised.get(part) == register.ballot:
-                yes.add(kin.store)
-        return majority(yes, register.document["group"], register.document["former"])
+        yes = {self.store.store} if self.store.acceptors[part].promised == proposer.ballot else set[str]()
+        for control_peer in self.control_peers.by_store.values():
+            lately = now_ms - control_peer.asked_ms <= CONTROL_SILENT_MS
+            if lately and control_peer.promised.get(part) == proposer.ballot:
+                yes.add(control_peer.store)
+        return majority(yes, proposer.document["group"], proposer.document["former"])
 
     def current(self, part: str, now_ms: float) -> bool:
         """Whether what this node holds of a part is lately known to be the newest."""
-        document = self.registers[part].document
+        document = self.proposers[part].document
         if document is not None and self.confirmed(part, now_ms):
             return bool(document["generation"] <= self.news.generation(part))
-        for kin in self.kindred.by_store.values():
-            claim = kin.owns.get(part)
-            if claim and claim["confirmed"] and now_ms - kin.asked_ms <= CONTROL_SILENT_MS:
+        for control_peer in self.control_peers.by_store.values():
+            claim = control_peer.owns.get(part)
+            if claim and claim["confirmed"] and now_ms - control_peer.asked_ms <= CONTROL_SILENT_MS:
                 return bool(claim["generation"] <= self.news.generation(part))
         return False
 
@@ -102,12 +102,12 @@
         now_ms = self.world.now_ms()
         owns = {
             part: {
-                "ballot": register.ballot,
-                "generation": register.document["generation"],
+                "ballot": proposer.ballot,
+                "generation": proposer.document["generation"],
                 "confirmed": self.confirmed(part, now_ms),
             }
-            for part, register in self.registers.items()
-            if register.owns() and register.document is not None
+            for part, proposer in self.proposers.items()
+            if proposer.owns() and proposer.document is not None
         }
         return {
             "store": self.store.store,
@@ -117,7 +117,7 @@
             "district": self.startup.district,
             "fleet": self.store.fleet,
             "founders": self.store.founders,
-            "sees": sorted({self.store.store, *(each.store for each in self.kindred.alive(now_ms))}),
+            "sees": sorted({self.store.store, *(each.store for each in self.control_peers.alive(now_ms))}),
             "owns": owns,
             "promised": {part: each.promised for part, each in self.store.acceptors.items()},
             "generations": self.news.generations(),
@@ -125,51 +125,55 @@
             "digest": self.sessions.digest(),
         }
 
-    def hear_kin(self, body: Message, peer: str, asked_ms: float | None) -> None:
-        kin, now_ms = Kin.read(body, peer), self.world.now_ms()
-        foreign = kin.fleet and self.store.fleet and kin.fleet != self.store.fleet
-        if kin.store == self.store.store or foreign:
+    def hear_control_peer(self, body: Message, peer: str, asked_ms: float | None) -> None:
+        control_peer, now_ms = ControlPeer.read(body, peer), self.world.now_ms()
+        foreign = control_peer.fleet and self.store.fleet and control_peer.fleet != self.store.fleet
+        if control_peer.store == self.store.store or foreign:
             return
-        self.kindred.heard(kin, now_ms, asked_ms)
-        self.sessions.told(kin.store, kin.sessions, now_ms)
-        self.sessions.told_digest(kin.store, kin.digest, now_ms)
-        for part, register in self.registers.items():
-            register.highest = max(register.highest, kin.promised.get(part, (0, ""))[0])
-            if register.owns() and part in kin.owns and read_ballot(kin.owns[part]["ballot"]) > register.ballot:
-                register.step_down(f"{kin.name} owns it by a later ballot.")
+        self.control_peers.heard(control_peer, now_ms, asked_ms)
+        self.sessions.told(control_peer.store, control_peer.sessions, now_ms)
+        self.sessions.told_digest(control_peer.store, control_peer.digest, now_ms)
+        for part, proposer in self.proposers.items():
+            proposer.highest = max(proposer.highest, control_peer.promised.get(part, (0, ""))[0])
+            if (
+                proposer.owns()
+                and part in control_peer.owns
+                and read_ballot(control_peer.owns[part]["ballot"]) > proposer.ballot
+            ):
+                proposer.step_down(f"{control_peer.name} owns it by a later ballot.")
 
     async def beat_all(self) -> None:
         while True:
-            self.kindred.forget_silent(self.world.now_ms())
-            for address in sorted(self.kindred.addresses):
+            self.control_peers.forget_silent(self.world.now_ms())
+            for address in sorted(self.control_peers.addresses):
                 self.group.start_soon(self._beat_one, address)
             await self.tempo.pause(BEAT_MS)
 
     async def _beat_one(self, address: str) -> None:
         asked_ms = self.world.now_ms()
         try:
-            if address in self.kindred.routing or address not in self.kindred.met:
+            if address in self.control_peers.routing or address not in self.control_peers.met:
                 await self._ask_who(address)
-            if address in self.kindred.routing:
+            if address in self.control_peers.routing:
                 return
             answer = await self.book.ask(address, "kin.beat", self.beat_body(), CONTROL_SILENT_MS)
             have = self.news.generations()
             with reading("beat", address):
-                self.hear_kin(answer, address, asked_ms)
+                self.hear_control_peer(answer, address, asked_ms)
                 behind = any(generation > have.get(part, -1) for part, generation in answer["generations"].items())
             if behind:
                 followed = await self.book.ask(address, "news.follow", {"have": have, "holdMs": 0})
                 self.news.take_in(field(followed, "news", dict, address), address)
-        except Mishap as mishap:
-            _log.debug("A beat went unanswered. {}", mishap)
+        except FleetError as error:
+            _log.debug("A beat went unanswered. {}", error)
 
     async def _ask_who(self, address: str) -> None:
         """Ask a process what it is before the first beat to it; a seed may be of any kind."""
         body = {"plane": "control", "address": self.startup.address}
         answer = await self.book.ask(address, "peer.who", body, ASK_WAIT_MS)
-        self.kindred.met.add(address)
+        self.control_peers.met.add(address)
         routing = field(answer, "plane", str, address) == "routing"
-        (self.kindred.routing.add if routing else self.kindred.routing.discard)(address)
+        (self.control_peers.routing.add if routing else self.control_peers.routing.discard)(address)
         for each in field(answer, "controls", list, address):
             if each != self.startup.address:
-                self.kindred.addresses.add(str(each))
+                self.control_peers.addresses.add(str(each))
--- a/src/finchswitch/accord/document.py
+++ b/src/finchswitch/control/document.py
@@ -10,9 +10,9 @@
 import json
 from typing import Any
 
-from finchswitch.constants import CREED_PART, PARTS, RECENT_MOST
-from finchswitch.creed import apply_edits, edits_between
-from finchswitch.mishap import Mishap, MishapKind
+from finchswitch.configuration import apply_edits, edits_between
+from finchswitch.constants import CONFIGURATION_PART, PARTS, RECENT_MOST
+from finchswitch.errors import ErrorKind, FleetError
 
 __all__ = [
     "Ballot",
@@ -31,7 +31,7 @@
 
 
 def part_names() -> list[str]:
-    return [CREED_PART, *(f"part-{at}" for at in range(PARTS))]
+    return [CONFIGURATION_PART, *(f"part-{at}" for at in range(PARTS))]
 
 
 def part_of(service: str) -> str:
@@ -84,7 +84,7 @@
     True
     """
     if delta["base"] != base["step"]:
-        raise Mishap(MishapKind.STALE, "grow", base["part"], f"base {delta['base']} is not held")
+        raise FleetError(ErrorKind.STALE, "grow", base["part"], f"base {delta['base']} is not held")
     if "body" in delta:
         return {**delta["rest"], "body": delta["body"]}
     body = apply_edits(base["body"], delta["edits"]).unwrap() if delta["edits"] else base["body"]
--- a/src/finchswitch/accord/register.py
+++ b/src/finchswitch/control/proposer.py
@@ -2,7 +2,7 @@
 
 ``stand`` prepares at a majority, takes the document with the highest ballot and generation found, and has it
 accepted again under the new ballot. ``commit`` then has generation n+1 accepted. A commit that finds no
-majority leaves its fate open, so the register falls back to idle and must stand again before it speaks.
+majority leaves its fate open, so the proposer falls back to idle and must stand again before it speaks.
 While a group changes, both the former and the new group must give a majority.
 """
 
@@ -11,34 +11,34 @@
 
 import anyio
 
-from finchswitch.accord.acceptor import read_ballot
-from finchswitch.accord.document import Ballot, Document, shrink
-from finchswitch.charts import Walker, load_chart
 from finchswitch.constants import ACCEPT_WAIT_MS, PREPARE_WAIT_MS
+from finchswitch.control.acceptor import read_ballot
+from finchswitch.control.document import Ballot, Document, shrink
+from finchswitch.errors import ErrorKind, FleetError
 from finchswitch.logs import prefix
-from finchswitch.mishap import Mishap, MishapKind
-from finchswitch.wire import Message
+from finchswitch.state_machines import StateMachine, load_transitions
+from finchswitch.transport import Message
 
-__all__ = ["OwnState", "Register", "Voters"]
+__all__ = ["ProposerState", "Proposer", "Voters"]
 
 _log = prefix("accord")
 
 
-class OwnState(Enum):
+class ProposerState(Enum):
     IDLE = "idle"
     STANDING = "standing"
     RECLAIMING = "reclaiming"
     OWNING = "owning"
 
 
-class OwnEvent(Enum):
+class ProposerEvent(Enum):
     STAND = "stand"
     ELECTED = "elected"
     RECLAIMED = "reclaimed"
     OUTVOTED = "outvoted"
 
 
-_CHART = load_chart("owner", OwnState, OwnEvent)
+_TRANSITIONS = load_transitions("owner", ProposerState, ProposerEvent)
 
 
 class Voters(Protocol):
@@ -59,10 +59,10 @@
     return all(2 * len(yes & set(group)) > len(group) for group in groups)
 
 
-class Register:
+class Proposer:
     def __init__(self, part: str, store: str, voters: Voters) -> None:
         self.part, self._store, self._voters = part, store, voters
-        self._walker = Walker(_CHART, part)
+        self._state_machine = StateMachine(_TRANSITIONS, part)
         self._lock = anyio.Lock()
         self.ballot: Ballot = (0, "")
         self.highest = 0  # highest ballot number seen anywhere
@@ -71,30 +71,30 @@
         self._left_out: tuple[Ballot, int] = ((0, ""), -1)  # of the newest found whose group lacks this store
 
     @property
-    def state(self) -> OwnState:
-        return self._walker.state
+    def state(self) -> ProposerState:
+        return self._state_machine.state
 
     def owns(self) -> bool:
-        return self._walker.state is OwnState.OWNING
+        return self._state_machine.state is ProposerState.OWNING
 
     def step_down(self, reason: str) -> None:
-        if self._walker.can(OwnEvent.OUTVOTED):
+        if self._state_machine.can(ProposerEvent.OUTVOTED):
             _log.info("No longer owner of {}. {}", self.part, reason)
-            self._walker.take(OwnEvent.OUTVOTED)
+            self._state_machine.take(ProposerEvent.OUTVOTED)
 
     async def stand(self, known: Document) -> bool:
         """Try to become the owner, starting from a document this store holds."""
         async with self._lock:
-            if not self._walker.can(OwnEvent.STAND):
+            if not self._state_machine.can(ProposerEvent.STAND):
                 return False
-            self._walker.take(OwnEvent.STAND)
+            self._state_machine.take(ProposerEvent.STAND)
             self.highest += 1
             self.ballot = (self.highest, self._store)
             found = await self._elect(known)
             if found is None:
                 self.step_down("No majority for a ballot.")
                 return False
-            self._walker.take(OwnEvent.ELECTED)
+            self._state_machine.take(ProposerEvent.ELECTED)
             if self._store not in found["group"]:
                 self._left_out = max(self._left_out, (self._found_ballot, found["step"]))
                 self.step_down("This store is not of the group that was found.")
@@ -103,7 +103,7 @@
                 self.step_down("What was found could not be accepted again.")
                 return False
             self.document = found
-            self._walker.take(OwnEvent.RECLAIMED)
+            self._state_machine.take(ProposerEvent.RECLAIMED)
             _log.info("Owner of {} at generation {} by ballot {}.", self.part, found["generation"], self.ballot)
             return True
 
@@ -115,12 +115,12 @@
         """Have the next generation accepted, or raise: REFUSED is surely not taken, LOST is open."""
         async with self._lock:
             if not self.owns() or self.document is not base:
-                raise Mishap(MishapKind.REFUSED, "commit", self.part, "not the owner of that base")
+                raise FleetError(ErrorKind.REFUSED, "commit", self.part, "not the owner of that base")
             if not await self._accept(following, base):
                 self.step_down("A commit found no majority.")
-                raise Mishap(MishapKind.LOST, "commit", self.part, "no majority accepted in time")
+                raise FleetError(ErrorKind.LOST, "commit", self.part, "no majority accepted in time")
             if not self.owns():
-                raise Mishap(MishapKind.LOST, "commit", self.part, "outvoted meanwhile")
+                raise FleetError(ErrorKind.LOST, "commit", self.part, "outvoted meanwhile")
             self.document = following
 
     async def check(self) -> bool:
--- a/src/finchswitch/accord/voting.py
+++ b/src/finchswitch/control/replicas.py
@@ -1,4 +1,4 @@
-"""The chamber: how a register's asks reach every acceptor, and how this node's acceptors answer.
+"""The replicas: how a proposer's asks reach every acceptor, and how this node's acceptors answer.
 
 An ask names the fleet and the store that it means, so that a store which took a lost one's place at the same
 address is never mistaken for it.
@@ -9,22 +9,22 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from finchswitch.accord.acceptor import read_ballot
-from finchswitch.accord.document import Document
-from finchswitch.accord.store import Store
-from finchswitch.kinship.kin import Kindred
+from finchswitch.control.acceptor import read_ballot
+from finchswitch.control.document import Document
+from finchswitch.control.store import Store
+from finchswitch.errors import FleetError
 from finchswitch.logs import prefix
-from finchswitch.mishap import Mishap
-from finchswitch.wire import Book, Message, field, reading
+from finchswitch.membership.control_peers import ControlPeers
+from finchswitch.transport import Book, Message, field, reading
 
-__all__ = ["Chamber", "Committed"]
+__all__ = ["Replicas", "Committed"]
 
 _log = prefix("accord")
 Committed = tuple[str, Document]
 
 
 def _check(kind: str, answer: Message) -> None:
-    """The shape that a register relies on."""
+    """The shape that a proposer relies on."""
     if kind == "vote.commit":
         return
     read_ballot(answer["promised"])
@@ -38,18 +38,18 @@
             field(document, name, shape)
 
 
-class Chamber:
-    def __init__(self, store: Store, kindred: Kindred, book: Book, group: TaskGroup) -> None:
-        self._store, self._kindred, self._book, self._group = store, kindred, book, group
+class Replicas:
+    def __init__(self, store: Store, control_peers: ControlPeers, book: Book, group: TaskGroup) -> None:
+        self._store, self._kindred, self._book, self._group = store, control_peers, book, group
 
     async def vote(self, store: str, kind: str, body: Message, wait_ms: float) -> Message:
         body = {**body, "fleet": self._store.fleet, "store": store}
         if store == self._store.store:
             return self.answer(kind, body)
-        kin = self._kindred.by_store.get(store)
-        if kin is None:
-            raise Mishap.silent(kind, store, "its address is not known")
-        return await self._book.ask(kin.address, kind, body, wait_ms)
+        control_peer = self._kindred.by_store.get(store)
+        if control_peer is None:
+            raise FleetError.silent(kind, store, "its address is not known")
+        return await self._book.ask(control_peer.address, kind, body, wait_ms)
 
     def later(self, store: str, kind: str, body: Message, wait_ms: float, back: Any) -> None:
         self._group.start_soon(self._vote_back, store, kind, body, wait_ms, back)
@@ -61,8 +61,8 @@
             with reading(kind, store):
                 _check(kind, answered)
             answer = answered
-        except Mishap as mishap:
-            _log.info("A vote is missing. {}", mishap)
+        except FleetError as error:
+            _log.info("A vote is missing. {}", error)
         try:
             back.send_nowait((store, answer))
         except (anyio.WouldBlock, anyio.BrokenResourceError, anyio.ClosedResourceError):
@@ -72,9 +72,9 @@
         """Answer a vote.* ask; ``vote.commit`` answers with what it showed to be committed."""
         part, named = field(body, "part", str), (body.get("fleet"), body.get("store"))
         if not self._store.fleet or named != (self._store.fleet, self._store.store):
-            raise Mishap.refused(kind, self._store.store, "asked as another store or fleet")
+            raise FleetError.refused(kind, self._store.store, "asked as another store or fleet")
         if part not in self._store.acceptors:
-            raise Mishap.refused(kind, self._store.store, f"no part {part}")
+            raise FleetError.refused(kind, self._store.store, f"no part {part}")
         acceptor, ballot = self._store.acceptors[part], read_ballot(body.get("ballot"))
         if kind == "vote.prepare":
             return acceptor.prepare(ballot)
--- a/src/finchswitch/accord/store.py
+++ b/src/finchswitch/control/store.py
@@ -7,13 +7,13 @@
 
 from enum import Enum
 
-from finchswitch.accord.acceptor import Acceptor
-from finchswitch.accord.document import digest_of, founding_document, part_names
-from finchswitch.charts import Walker, load_chart
+from finchswitch.control.acceptor import Acceptor
+from finchswitch.control.document import digest_of, founding_document, part_names
+from finchswitch.errors import ErrorKind, FleetError
 from finchswitch.logs import prefix
-from finchswitch.mishap import Mishap, MishapKind
-from finchswitch.shelf import Disk, Shelf
-from finchswitch.wire import World
+from finchswitch.state_machines import StateMachine, load_transitions
+from finchswitch.storage import Disk, VersionedFile
+from finchswitch.transport import World
 
 __all__ = ["Store", "StoreState", "fleet_of"]
 
@@ -33,7 +33,7 @@
     SWAPPED_OUT = "swapped-out"
 
 
-_CHART = load_chart("store", StoreState, StoreEvent)
+_TRANSITIONS = load_transitions("store", StoreState, StoreEvent)
 
 
 def fleet_of(founders: list[str]) -> str:
@@ -48,40 +48,40 @@
 class Store:
     def __init__(self, world: World, disk: Disk, name: str) -> None:
         self._world, self._disk, self._name = world, disk, name
-        self._shelf = Shelf(disk, "store")
-        self._walker = Walker(_CHART, name)
+        self._versions = VersionedFile(disk, "store")
+        self._state_machine = StateMachine(_TRANSITIONS, name)
         self.store, self.fleet, self.founders = "", "", list[str]()
         self.acceptors: dict[str, Acceptor] = {}
         try:
             self._open()
-        except Mishap as mishap:
-            if mishap.kind is MishapKind.NEWER:
+        except FleetError as error:
+            if error.kind is ErrorKind.NEWER:
                 raise
-            _log.error("Store is not to be trusted and starts empty. {}", mishap)
+            _log.error("Store is not to be trusted and starts empty. {}", error)
             self._start_empty()
 
     @property
     def state(self) -> StoreState:
-        return self._walker.state
+        return self._state_machine.state
 
     def _open(self) -> None:
-        kept = self._shelf.newest()
+        kept = self._versions.newest()
         if kept is None:
             if any(self._disk.names(part) for part in part_names()):
-                raise Mishap(MishapKind.BROKEN, "open", self._name, "parts without a store")
+                raise FleetError(ErrorKind.BROKEN, "open", self._name, "parts without a store")
             self._start_empty()
             return
         self.store, self.fleet, self.founders = kept["store"], kept["fleet"], kept["founders"]
         self._open_parts()
         if self.fleet:
             voting = any(each.votes() for each in self.acceptors.values())
-            self._walker.take(StoreEvent.FOUNDED if voting else StoreEvent.LEARNED)
+            self._state_machine.take(StoreEvent.FOUNDED if voting else StoreEvent.LEARNED)
             _log.info("Store {} of fleet {} opened, {}.", self.store, self.fleet, self.state.value)
 
     def _start_empty(self) -> None:
         for folder in [*part_names(), "store"]:
-            Shelf(self._disk, folder).clear()
-        self._shelf = Shelf(self._disk, "store")
+            VersionedFile(self._disk, folder).clear()
+        self._versions = VersionedFile(self._disk, "store")
         self.store, self.fleet, self.founders = f"{self._name}-{self._world.chance.randbytes(6).hex()}", "", []
         self._open_parts()
         self._write()
@@ -89,11 +89,11 @@
 
     def _open_parts(self) -> None:
         self.acceptors = {
-            part: Acceptor(self._world, self.store, part, Shelf(self._disk, part)) for part in part_names()
+            part: Acceptor(self._world, self.store, part, VersionedFile(self._disk, part)) for part in part_names()
         }
 
     def _write(self) -> None:
-        self._shelf.put({"store": self.store, "fleet": self.fleet, "founders": self.founders})
+        self._versions.put({"store": self.store, "fleet": self.fleet, "founders": self.founders})
 
     def found(self, founders: list[str]) -> None:
         """Become a founder: the founding documents first, then the fleet's id."""
@@ -103,21 +103,21 @@
                 acceptor.adopt(founding_document(fleet, part, founders))
         self.fleet, self.founders = fleet, sorted(founders)
         self._write()
-        self._walker.take(StoreEvent.FOUNDED)
+        self._state_machine.take(StoreEvent.FOUNDED)
         _log.info("Founded fleet {} with {}.", fleet, ", ".join(self.founders))
 
     def join(self, fleet: str, founders: list[str]) -> None:
         """Belong to a fleet that others founded, without a vote."""
         self.fleet, self.founders = fleet, founders
         self._write()
-        self._walker.take(StoreEvent.LEARNED)
+        self._state_machine.take(StoreEvent.LEARNED)
         _log.info("Joined fleet {} as a spare.", fleet)
 
     def note_votes(self) -> None:
         """Follow what the documents say of this store's vote."""
         if self.state is StoreState.SPARE and any(each.votes() for each in self.acceptors.values()):
-            self._walker.take(StoreEvent.SWAPPED_IN)
+            self._state_machine.take(StoreEvent.SWAPPED_IN)
             _log.info("Store {} has a vote now.", self.store)
         elif self.state is StoreState.VOTING and not any(each.votes() for each in self.acceptors.values()):
-            self._walker.take(StoreEvent.SWAPPED_OUT)
+            self._state_machine.take(StoreEvent.SWAPPED_OUT)
             _log.info("Store {} has no vote any more.", self.store)
--- a/src/finchswitch/relay/follow.py
+++ b/src/finchswitch/distribution/follow.py
@@ -5,12 +5,12 @@
 """
 
 from finchswitch.constants import BEHIND_MS, ELSEWHERE_MS, FOLLOW_HOLD_MS, PARENT_SILENT_MS
-from finchswitch.kinship.member import Member
+from finchswitch.distribution.news import NewsBook
+from finchswitch.distribution.tree import parent_of
+from finchswitch.errors import ErrorKind, FleetError
 from finchswitch.logs import prefix
-from finchswitch.mishap import Mishap, MishapKind
-from finchswitch.relay.news import NewsBook
-from finchswitch.relay.tree import parent_of
-from finchswitch.wire import Book, World, field
+from finchswitch.membership.member import Member
+from finchswitch.transport import Book, World, field
 
 __all__ = ["Follower"]
 
@@ -36,15 +36,15 @@
                 news = field(answer, "news", dict, self.source)
                 moved = self._news.take_in(news, self.source)
                 if news and not moved:
-                    raise Mishap(MishapKind.BROKEN, "news", self.source, "all that it told is old")
+                    raise FleetError(ErrorKind.BROKEN, "news", self.source, "all that it told is old")
                 for part in moved:
                     _log.info("{} is at generation {}.", part, self._news.generation(part))
                     self._member.tempo.kick()
-            except Mishap as mishap:
-                if mishap.kind is MishapKind.STALE:
+            except FleetError as error:
+                if error.kind is ErrorKind.STALE:
                     await self._snapshot()
                     continue
-                _log.info("Going elsewhere for news. {}", mishap)
+                _log.info("Going elsewhere for news. {}", error)
                 self._passed[self.source] = self._world.now_ms() + ELSEWHERE_MS
                 await self._world.sleep(BEHIND_MS / 10)
 
@@ -53,8 +53,8 @@
             body = {"have": {}, "holdMs": 0}
             answer = await self._book.ask(self.source, "news.follow", body, PARENT_SILENT_MS)
             self._news.take_in(field(answer, "news", dict, self.source), self.source)
-        except Mishap as mishap:
-            _log.info("No snapshot. {}", mishap)
+        except FleetError as error:
+            _log.info("No snapshot. {}", error)
             self._passed[self.source] = self._world.now_ms() + ELSEWHERE_MS
 
     def _draw_source(self) -> str:
--- a/src/finchswitch/relay/news.py
+++ b/src/finchswitch/distribution/news.py
@@ -9,10 +9,10 @@
 
 import anyio
 
+from finchswitch.configuration import apply_edits, edits_between
 from finchswitch.constants import NEWS_KEEP
-from finchswitch.creed import apply_edits, edits_between
-from finchswitch.mishap import Mishap, MishapKind
-from finchswitch.wire import Message, field, reading
+from finchswitch.errors import ErrorKind, FleetError
+from finchswitch.transport import Message, field, reading
 
 __all__ = ["NewsBook"]
 
@@ -92,5 +92,5 @@
             body = apply_edits(self.body(part), edits).unwrap() if edits else self.body(part)
             moved = self.take(part, target, body) or moved
         if not moved:
-            raise Mishap(MishapKind.STALE, "news", peer, f"changes of {part} do not join what is held")
+            raise FleetError(ErrorKind.STALE, "news", peer, f"changes of {part} do not join what is held")
         return moved
--- a/src/finchswitch/relay/tree.py
+++ b/src/finchswitch/distribution/tree.py
@@ -5,7 +5,7 @@
 """
 
 from finchswitch.constants import FANOUT
-from finchswitch.wire import Message
+from finchswitch.transport import Message
 
 __all__ = ["parent_of"]
 
--- a/src/finchswitch/mishap.py
+++ b/src/finchswitch/errors.py
@@ -1,16 +1,16 @@
-"""A mishap: what went wrong, at which step, and with which peer.
+"""An error: what went wrong, at which step, and with which peer.
 
-Every error that crosses a function's border in finchswitch is a ``Mishap``. It carries the step at which it
+Every error that crosses a function's border in finchswitch is a ``FleetError``. It carries the step at which it
 arose and the peer that was involved, so that a log line or an operator's answer can name both.
 """
 
 from collections.abc import Iterator
 from enum import Enum
 
-__all__ = ["causes_of", "Mishap", "MishapKind"]
+__all__ = ["causes_of", "FleetError", "ErrorKind"]
 
 
-class MishapKind(Enum):
+class ErrorKind(Enum):
     SILENT = "silent"  # no answer in time
     REFUSED = "refused"  # the peer said no
     BROKEN = "broken"  # bytes or shape not as agreed
@@ -22,14 +22,14 @@
     LOST = "lost"  # a fate that nobody here knows
 
 
-class Mishap(Exception):
+class FleetError(Exception):
     """An error with its step and its peer.
 
-    >>> str(Mishap(MishapKind.SILENT, "accept", "10.0.0.1:7001", "no answer in 500 ms"))
+    >>> str(FleetError(ErrorKind.SILENT, "accept", "10.0.0.1:7001", "no answer in 500 ms"))
     'accept at 10.0.0.1:7001: silent: no answer in 500 ms'
     """
 
-    def __init__(self, kind: MishapKind, step: str, peer: str, reason: str) -> None:
+    def __init__(self, kind: ErrorKind, step: str, peer: str, reason: str) -> None:
         super().__init__(kind, step, peer, reason)
         self.kind, self.step, self.peer, self.reason = kind, step, peer, reason
 
@@ -37,12 +37,12 @@
         return f"{self.step} at {self.peer}: {self.kind.value}: {self.reason}"
 
     @classmethod
-    def silent(cls, step: str, peer: str, reason: str) -> "Mishap":
-        return cls(MishapKind.SILENT, step, peer, reason)
+    def silent(cls, step: str, peer: str, reason: str) -> "FleetError":
+        return cls(ErrorKind.SILENT, step, peer, reason)
 
     @classmethod
-    def refused(cls, step: str, peer: str, reason: str) -> "Mishap":
-        return cls(MishapKind.REFUSED, step, peer, reason)
+    def refused(cls, step: str, peer: str, reason: str) -> "FleetError":
+        return cls(ErrorKind.REFUSED, step, peer, reason)
 
 
 def causes_of(ended: BaseException) -> Iterator[BaseException]:
--- a/src/finchswitch/logs.py
+++ b/src/finchswitch/logs.py
@@ -1,7 +1,7 @@
 """Logs: short sentences under a fixed prefix for each part.
 
 ``prefix("accord")`` gives that part's logger. ``to_stderr`` sets up a process's handler once: sentences for people, or
-one JSON object a line with fixed fields for programs. A mishap in a sentence also stands there by its step and peer.
+one JSON object a line with fixed fields for programs. An error in a sentence also stands there by its step and peer.
 """
 
 import json
@@ -10,7 +10,7 @@
 
 import logbook  # type: ignore[import-untyped]
 
-from finchswitch.mishap import Mishap
+from finchswitch.errors import FleetError
 
 __all__ = ["FORMS", "line_of", "prefix", "to_stderr"]
 
@@ -22,7 +22,7 @@
 
 
 def line_of(record: Any, name: str) -> str:
-    """A record as one line of JSON: time, process, part, level, text, and the step and peer of the mishap it names."""
+    """A record as one line of JSON: time, process, part, level, text, and the step and peer of the error it names."""
     line = {
         "time": record.time.isoformat() if record.time else "",
         "process": name,
@@ -30,9 +30,9 @@
         "level": record.level_name.lower(),
         "text": record.message,
     }
-    mishap = next((each for each in record.args if isinstance(each, Mishap)), None)
-    if mishap is not None:
-        line.update({"step": mishap.step, "peer": mishap.peer, "kind": mishap.kind.value})
+    error = next((each for each in record.args if isinstance(each, FleetError)), None)
+    if error is not None:
+        line.update({"step": error.step, "peer": error.peer, "kind": error.kind.value})
     return json.dumps(line)
 
 
--- a/src/finchswitch/kinship/kin.py
+++ b/src/finchswitch/membership/control_peers.py
@@ -7,17 +7,17 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from finchswitch.accord.acceptor import read_ballot
-from finchswitch.accord.document import Ballot
 from finchswitch.constants import CONTROL_SILENT_MS, FORGET_MS
-from finchswitch.wire import Message
-from finchswitch.wire import field as read
+from finchswitch.control.acceptor import read_ballot
+from finchswitch.control.document import Ballot
+from finchswitch.transport import Message
+from finchswitch.transport import field as read
 
-__all__ = ["Kin", "Kindred"]
+__all__ = ["ControlPeer", "ControlPeers"]
 
 
 @dataclass
-class Kin:
+class ControlPeer:
     """Another control node."""
 
     store: str
@@ -37,7 +37,7 @@
     asked_ms: float = field(default=-1e18)
 
     @classmethod
-    def read(cls, body: Message, peer: str) -> "Kin":
+    def read(cls, body: Message, peer: str) -> "ControlPeer":
         promised = read(body, "promised", dict, peer)
         return cls(
             store=read(body, "store", str, peer),
@@ -56,13 +56,13 @@
         )
 
 
-class Kindred:
+class ControlPeers:
     """The control nodes known, by store and by address."""
 
     def __init__(self, own_address: str, seeds: list[str]) -> None:
         self._own, self.seeds = own_address, list(seeds)
         self.addresses = {each for each in seeds if each != own_address}
-        self.by_store: dict[str, Kin] = {}
+        self.by_store: dict[str, ControlPeer] = {}
         self.met: set[str] = set()  # addresses that said what they are
         self.routing: set[str] = set()  # seeds that turned out to be routing nodes
 
@@ -71,27 +71,27 @@
         self.seeds = list(seeds)
         self.addresses |= {each for each in seeds if each != self._own}
 
-    def heard(self, kin: Kin, now_ms: float, asked_ms: float | None) -> None:
+    def heard(self, control_peer: ControlPeer, now_ms: float, asked_ms: float | None) -> None:
         """Take in a beat (no askedMs) or the answer to one."""
-        before = self.by_store.get(kin.store)
-        kin.asked_ms = asked_ms if asked_ms is not None else (before.asked_ms if before else -1e18)
-        kin.heard_ms = now_ms
-        for other in [each for each in self.by_store.values() if each.address == kin.address]:
+        before = self.by_store.get(control_peer.store)
+        control_peer.asked_ms = asked_ms if asked_ms is not None else (before.asked_ms if before else -1e18)
+        control_peer.heard_ms = now_ms
+        for other in [each for each in self.by_store.values() if each.address == control_peer.address]:
             del self.by_store[other.store]
-        self.by_store[kin.store] = kin
-        if kin.address != self._own:
-            self.addresses.add(kin.address)
+        self.by_store[control_peer.store] = control_peer
+        if control_peer.address != self._own:
+            self.addresses.add(control_peer.address)
 
     def forget_silent(self, now_ms: float) -> None:
         """Control nodes silent for long; the seeds are asked forever."""
-        for kin in [each for each in self.by_store.values() if now_ms - each.heard_ms > FORGET_MS]:
-            del self.by_store[kin.store]
-            if kin.address not in self.seeds:
-                self.addresses.discard(kin.address)
+        for control_peer in [each for each in self.by_store.values() if now_ms - each.heard_ms > FORGET_MS]:
+            del self.by_store[control_peer.store]
+            if control_peer.address not in self.seeds:
+                self.addresses.discard(control_peer.address)
 
-    def alive(self, now_ms: float) -> list[Kin]:
+    def alive(self, now_ms: float) -> list[ControlPeer]:
         return [each for each in self.by_store.values() if now_ms - each.heard_ms <= CONTROL_SILENT_MS]
 
     def silent_ms(self, store: str, now_ms: float) -> float:
-        kin = self.by_store.get(store)
-        return now_ms - kin.heard_ms if kin else float("inf")
+        control_peer = self.by_store.get(store)
+        return now_ms - control_peer.heard_ms if control_peer else float("inf")
--- a/src/finchswitch/kinship/controls.py
+++ b/src/finchswitch/membership/controls.py
@@ -4,9 +4,9 @@
 """
 
 from finchswitch.constants import BEAT_MS
+from finchswitch.errors import FleetError
 from finchswitch.logs import prefix
-from finchswitch.mishap import Mishap
-from finchswitch.wire import Book, World, field
+from finchswitch.transport import Book, World, field
 
 __all__ = ["Controls"]
 
@@ -56,5 +56,5 @@
             (self._routing.add if routing else self._routing.discard)(address)
             for each in field(answer, "controls", list, address):
                 self.meet(str(each))
-        except Mishap as mishap:
-            _log.debug("Nobody says who is at {}. {}", address, mishap)
+        except FleetError as error:
+            _log.debug("Nobody says who is at {}. {}", address, error)
--- a/src/finchswitch/kinship/digest.py
+++ b/src/finchswitch/membership/digest.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from finchswitch.constants import HOT_MOST
-from finchswitch.wire import Message
+from finchswitch.transport import Message
 
 __all__ = ["merged"]
 
--- a/src/finchswitch/kinship/member.py
+++ b/src/finchswitch/membership/member.py
@@ -9,23 +9,23 @@
 from enum import Enum
 
 from finchswitch.bounds import Bounds
-from finchswitch.charts import Walker, load_chart
 from finchswitch.constants import (
     BEAT_MS,
+    CONFIGURATION_PART,
     CONTROL_GRACE_MS,
     CONTROL_SILENT_MS,
-    CREED_PART,
     FORGET_MS,
     PEER_BEAT_MS,
     PEER_SILENT_MS,
 )
-from finchswitch.kinship.controls import Controls
-from finchswitch.kinship.tempo import Tempo
-from finchswitch.kinship.word import Word, check_beat
+from finchswitch.distribution import NewsBook
+from finchswitch.errors import FleetError
 from finchswitch.logs import prefix
-from finchswitch.mishap import Mishap
-from finchswitch.relay import NewsBook
-from finchswitch.wire import Book, Message, World, field, reading
+from finchswitch.membership.controls import Controls
+from finchswitch.membership.tempo import Tempo
+from finchswitch.membership.word import Word, check_beat
+from finchswitch.state_machines import StateMachine, load_transitions
+from finchswitch.transport import Book, Message, World, field, reading
 
 __all__ = ["Member", "NodeState"]
 
@@ -45,7 +45,7 @@
     STOP = "stop"
 
 
-_CHART = load_chart("node", NodeState, NodeEvent)
+_TRANSITIONS = load_transitions("node", NodeState, NodeEvent)
 _NEVER = -1e18
 
 
@@ -55,7 +55,7 @@
     ) -> None:
         self._world, self._book, self._news = world, book, news
         self.card = card  # name, address, http, district, incarnation
-        self._walker = Walker(_CHART, card["name"])
+        self._state_machine = StateMachine(_TRANSITIONS, card["name"])
         bounds = bounds or Bounds()
         self._alone, self._peers_most = bounds.serves_alone, bounds.peers_most
         self._members_mark = ""
@@ -71,7 +71,7 @@
 
     @property
     def state(self) -> NodeState:
-        return self._walker.state
+        return self._state_machine.state
 
     def wants(self) -> dict[str, int]:
         """The newest generations heard of from anyone."""
@@ -94,36 +94,36 @@
         return self._world.now_ms() - self._current_ms <= CONTROL_GRACE_MS
 
     def _confirmed(self) -> bool:
-        now_ms, held = self._world.now_ms(), self._news.generation(CREED_PART)
+        now_ms, held = self._world.now_ms(), self._news.generation(CONFIGURATION_PART)
         if self._controlled():
-            return held >= self._told.get(CREED_PART, 0)
+            return held >= self._told.get(CONFIGURATION_PART, 0)
         known = self.known()
         heard = [name for name in known if self._hears(name, now_ms)]
-        newest = max((self.peers[name]["generations"].get(CREED_PART, -1) for name in heard), default=-1)
+        newest = max((self.peers[name]["generations"].get(CONFIGURATION_PART, -1) for name in heard), default=-1)
         return bool(known) and 2 * len(heard) >= len(known) and held >= newest
 
     def may_send(self) -> bool:
         """Whether a seat granted before may still be used: the node has not slept meanwhile, nor been cut off."""
-        if self._alone and self._walker.state is not NodeState.JOINING:
+        if self._alone and self._state_machine.state is not NodeState.JOINING:
             return True
         return self._controlled() or self._confirmed()
 
     def may_grant(self) -> bool:
         """Whether this node may grant a seat now; the one place where its readiness changes."""
-        held = self._news.generation(CREED_PART)
-        if self._walker.state is NodeState.STOPPING:
+        held = self._news.generation(CONFIGURATION_PART)
+        if self._state_machine.state is NodeState.STOPPING:
             return False
         controlled, confirmed = self._controlled(), self._confirmed()
-        if held >= 1 and confirmed and self._walker.state is not NodeState.SERVING:
-            self._walker.take(NodeEvent.CONFIRMED)
+        if held >= 1 and confirmed and self._state_machine.state is not NodeState.SERVING:
+            self._state_machine.take(NodeEvent.CONFIRMED)
             _log.info("Serving generation {}{}.", held, "" if controlled else ", by the word of peers")
-        elif not confirmed and not controlled and not self._alone and self._walker.state is NodeState.SERVING:
-            self._walker.take(NodeEvent.CUT)
+        elif not confirmed and not controlled and not self._alone and self._state_machine.state is NodeState.SERVING:
+            self._state_machine.take(NodeEvent.CUT)
             _log.warning("Cut off; no seats until control or half of the peers are heard.")
-        return self._walker.state is NodeState.SERVING
+        return self._state_machine.state is NodeState.SERVING
 
     def stop(self) -> None:
-        self._walker.take(NodeEvent.STOP)
+        self._state_machine.take(NodeEvent.STOP)
 
     def many(self) -> bool:
         """Whether there are more nodes than this one beats, so that it hears of the others in digests only."""
@@ -144,8 +144,8 @@
                 answer = await self._book.ask(self.controls.chosen, "session.beat", body, CONTROL_SILENT_MS)
                 with reading("session", self.controls.chosen):
                     self._hear_control(answer, asked_ms)
-            except Mishap as mishap:
-                _log.info("No session with {}. {}", self.controls.chosen, mishap)
+            except FleetError as error:
+                _log.info("No session with {}. {}", self.controls.chosen, error)
                 await self.controls.ask_who(self.controls.chosen)
                 self.controls.elsewhere()
             self.may_grant()
@@ -198,8 +198,8 @@
             answer = await self._book.ask(address, "peer.beat", word, PEER_SILENT_MS)
             self.hear_peer(answer, asked_ms)
             own_word.hear(answer, asked_ms)
-        except Mishap as mishap:
-            _log.debug("A peer is silent or speaks badly. {}", mishap)
+        except FleetError as error:
+            _log.debug("A peer is silent or speaks badly. {}", error)
 
     def word(self, own_word: Word) -> Message:
         return {**self.card, "generations": self._news.generations(), **own_word.speak()}
@@ -226,5 +226,5 @@
         for address in self.controls.addresses:
             try:
                 await self._book.ask(address, "session.leave", {"name": self.card["name"]}, BEAT_MS)
-            except Mishap as mishap:
-                _log.info("A leave went unheard. {}", mishap)
+            except FleetError as error:
+                _log.info("A leave went unheard. {}", error)
--- a/src/finchswitch/kinship/sessions.py
+++ b/src/finchswitch/membership/sessions.py
@@ -9,11 +9,11 @@
 from enum import Enum
 from typing import Any
 
-from finchswitch.charts import Walker, load_chart
 from finchswitch.constants import CONTROL_GRACE_MS, SESSION_SILENT_MS, TOLD_KEEP_MS
-from finchswitch.kinship.digest import merged
 from finchswitch.logs import prefix
-from finchswitch.wire import Message
+from finchswitch.membership.digest import merged
+from finchswitch.state_machines import StateMachine, load_transitions
+from finchswitch.transport import Message
 
 __all__ = ["SessionState", "Sessions", "dark_may_serve"]
 
@@ -33,12 +33,12 @@
     REFUSED = "refused"
 
 
-_CHART = load_chart("session", SessionState, SessionEvent)
+_TRANSITIONS = load_transitions("session", SessionState, SessionEvent)
 
 
 class _Session:
     def __init__(self, name: str) -> None:
-        self.walker = Walker(_CHART, name)
+        self.state_machine = StateMachine(_TRANSITIONS, name)
         self.beat: Message = {}
         self.line = ""
         self.seen_ms = 0.0
@@ -65,9 +65,9 @@
     def beat(self, name: str, beat: Message, line: str, now_ms: float) -> bool:
         """A node's beat; says whether anything others should hear of has changed."""
         session = self._own.setdefault(name, _Session(name))
-        joined = not session.line or session.walker.state is not SessionState.STANDING
+        joined = not session.line or session.state_machine.state is not SessionState.STANDING
         news = joined or beat.get("generations") != session.beat.get("generations")
-        session.walker.take(SessionEvent.BEAT)
+        session.state_machine.take(SessionEvent.BEAT)
         session.beat, session.line, session.seen_ms = beat, line, now_ms
         if joined:
             _log.info("Session of {} stands.", name)
@@ -81,7 +81,7 @@
         return merged(self._standing_words(""))
 
     def _standing_words(self, but: str) -> list[Message]:
-        standing = {name for name, own in self._own.items() if own.walker.state is SessionState.STANDING}
+        standing = {name for name, own in self._own.items() if own.state_machine.state is SessionState.STANDING}
         return [word for name, word in sorted(self._words.items()) if name in standing and name != but]
 
     def others(self, name: str, now_ms: float) -> Message:
@@ -94,42 +94,47 @@
 
     def leave(self, name: str) -> None:
         session = self._own.get(name)
-        if session is not None and session.walker.can(SessionEvent.LEAVE):
-            session.walker.take(SessionEvent.LEAVE)
+        if session is not None and session.state_machine.can(SessionEvent.LEAVE):
+            session.state_machine.take(SessionEvent.LEAVE)
             _log.info("{} has left.", name)
 
     def line_closed(self, line: str) -> None:
         for name, session in self._own.items():
-            if session.line == line and session.walker.state is SessionState.STANDING:
-                session.walker.take(SessionEvent.SILENCE)
+            if session.line == line and session.state_machine.state is SessionState.STANDING:
+                session.state_machine.take(SessionEvent.SILENCE)
                 _log.info("Connection of {} closed.", name)
 
     def age(self, now_ms: float) -> None:
         for name, session in self._own.items():
             silent_ms = now_ms - session.seen_ms
-            if session.walker.state is SessionState.STANDING and silent_ms > SESSION_SILENT_MS:
-                session.walker.take(SessionEvent.SILENCE)
+            if session.state_machine.state is SessionState.STANDING and silent_ms > SESSION_SILENT_MS:
+                session.state_machine.take(SessionEvent.SILENCE)
                 _log.info("{} is silent.", name)
 
     def refused(self, name: str) -> None:
         session = self._own.get(name)
-        if session is not None and session.walker.can(SessionEvent.REFUSED):
-            session.walker.take(SessionEvent.REFUSED)
+        if session is not None and session.state_machine.can(SessionEvent.REFUSED):
+            session.state_machine.take(SessionEvent.REFUSED)
             _log.info("{} is gone; its door refuses.", name)
 
     def forget(self, name: str) -> bool:
         """An operator's word that a dark node is gone for good."""
         session = self._own.get(name)
-        if session is None or session.walker.state is not SessionState.DARK:
+        if session is None or session.state_machine.state is not SessionState.DARK:
             return False
-        session.walker.take(SessionEvent.REFUSED)
+        session.state_machine.take(SessionEvent.REFUSED)
         _log.info("{} is gone, as the operator says.", name)
         return True
 
     def own(self, now_ms: float) -> list[Message]:
         """This node's sessions, in the form in which control nodes tell them."""
         return [
-            {**session.beat, "name": name, "ageMs": now_ms - session.seen_ms, "state": session.walker.state.value}
+            {
+                **session.beat,
+                "name": name,
+                "ageMs": now_ms - session.seen_ms,
+                "state": session.state_machine.state.value,
+            }
             for name, session in sorted(self._own.items())
         ]
 
@@ -137,7 +142,11 @@
         self._told[store] = (now_ms, sessions)
         for each in sessions:
             own = self._own.get(each["name"])
-            if own is not None and own.walker.state is SessionState.DARK and each["ageMs"] < now_ms - own.seen_ms:
+            if (
+                own is not None
+                and own.state_machine.state is SessionState.DARK
+                and each["ageMs"] < now_ms - own.seen_ms
+            ):
                 del self._own[each["name"]]  # its session stands elsewhere now
 
     def all(self, now_ms: float) -> list[Message]:
--- a/src/finchswitch/kinship/tempo.py
+++ b/src/finchswitch/membership/tempo.py
@@ -2,7 +2,7 @@
 
 import anyio
 
-from finchswitch.wire import World
+from finchswitch.transport import World
 
 __all__ = ["Tempo"]
 
--- a/src/finchswitch/kinship/word.py
+++ b/src/finchswitch/membership/word.py
@@ -4,8 +4,8 @@
 
 from anyio.abc import TaskGroup
 
-from finchswitch.mishap import Mishap, MishapKind
-from finchswitch.wire import Message
+from finchswitch.errors import ErrorKind, FleetError
+from finchswitch.transport import Message
 
 __all__ = ["Word", "check_beat"]
 
@@ -42,18 +42,18 @@
 
 
 def check_beat(beat: Message, peer: str = "peer") -> None:
-    """Raises a Mishap BROKEN naming the first field that is not as it should be.
+    """Raises a FleetError BROKEN naming the first field that is not as it should be.
 
     >>> check_beat({"name": 5})
     Traceback (most recent call last):
-    finchswitch.mishap.Mishap: shape at peer: broken: field name missing or of the wrong type
+    finchswitch.errors.FleetError: shape at peer: broken: field name missing or of the wrong type
     """
     for name, shape in _SHAPE.items():
         if not _fits(beat.get(name), shape):
-            raise Mishap(MishapKind.BROKEN, "shape", peer, f"field {name} missing or of the wrong type")
+            raise FleetError(ErrorKind.BROKEN, "shape", peer, f"field {name} missing or of the wrong type")
     for name, shape in _OPTIONAL.items():
         if name in beat and not _fits(beat[name], shape):
-            raise Mishap(MishapKind.BROKEN, "shape", peer, f"field {name} of the wrong type")
+            raise FleetError(ErrorKind.BROKEN, "shape", peer, f"field {name} of the wrong type")
 
 
 def _fits(value: Any, shape: Any) -> bool:
--- a/src/finchswitch/platform/calls.py
+++ b/src/finchswitch/platform/calls.py
@@ -13,16 +13,16 @@
 from starlette.requests import Request
 
 from finchswitch.affinity import Opening
-from finchswitch.creed import Repeat
-from finchswitch.creed.routes import pick_target
+from finchswitch.configuration import Repeat
+from finchswitch.configuration.routes import pick_target
 from finchswitch.platform.events import events_of
-from finchswitch.transit.dialect import Call, Fate, Head, Headers, Piece, Refusal, TryMishap
-from finchswitch.transit.prompt import read_body
-from finchswitch.transit.proof import Ticket
-from finchswitch.transit.roster import Known
+from finchswitch.router.dialect import AttemptError, Call, Fate, Head, Headers, Piece, Refusal
+from finchswitch.router.prompt import read_body
+from finchswitch.router.proof import Ticket
+from finchswitch.router.roster import Known
 
 if TYPE_CHECKING:
-    from finchswitch.transit.node import Node
+    from finchswitch.router.node import Node
 
 __all__ = ["PlatformDialect", "read_parts"]
 
@@ -85,18 +85,18 @@
     async def read(self, node: "Node", scope: Any, receive: Any) -> Result[Call, tuple[str, Refusal]]:
         request = Request(scope, receive)
         headers, raw_path = request.headers, scope["raw_path"]
-        request_id, creed = headers.get("x-attempt-id", ""), node.creed()
-        read = await read_body(request, creed.settings.body_most_bytes)
+        request_id, configuration = headers.get("x-attempt-id", ""), node.configuration()
+        read = await read_body(request, configuration.settings.body_most_bytes)
         if isinstance(read, Failure):
             return Failure((request_id, read.failure()))
         if not request_id:
             return Failure(("", Refusal(400, "X-Attempt-Id: missing")))
         name = node.routes().find(headers.get("host", ""), raw_path.decode("latin-1"))
-        if name is None or name not in creed.routes:
+        if name is None or name not in configuration.routes:
             if node.generation() < 1:
                 return Failure((request_id, Refusal(503, "no configuration yet", 500.0)))
             return Failure((request_id, Refusal(404, "no route")))
-        route = creed.routes[name]
+        route = configuration.routes[name]
         query = scope["query_string"]
         words = _Words(scope["method"], raw_path + (b"?" + query if query else b""), list(scope["headers"]))
         service = pick_target(route.targets, headers.get("x-prompt-prefix", "").rpartition(",")[0] or request_id)
@@ -138,14 +138,14 @@
     def check_head(self, response: httpx.Response, known: Known, call: Call) -> Head:
         headers = response.headers
         if headers.get("x-attempt-id", call.request_id) != call.request_id:
-            raise TryMishap(Fate.UNKNOWN, "answer", known.runner, "answered another request")
+            raise AttemptError(Fate.UNKNOWN, "answer", known.runner, "answered another request")
         if "x-not-executed" in headers or response.status_code == 421:
-            raise TryMishap(Fate.NOT_RUN, "answer", known.runner, f"not run: status {response.status_code}")
+            raise AttemptError(Fate.NOT_RUN, "answer", known.runner, f"not run: status {response.status_code}")
         whole = response.status_code < 300 and "x-server-seal" in headers and "content-encoding" not in headers
         if response.status_code < 300 and not whole:
-            raise TryMishap(Fate.UNKNOWN, "answer", known.runner, "a success without its seal")
+            raise AttemptError(Fate.UNKNOWN, "answer", known.runner, "a success without its seal")
         if response.status_code in _PROMISES or (response.status_code >= 500 and (call.repeatable or call.resumable)):
-            raise TryMishap(Fate.UNKNOWN, "answer", known.runner, f"status {response.status_code}")
+            raise AttemptError(Fate.UNKNOWN, "answer", known.runner, f"status {response.status_code}")
         kept = [(name, value) for name, value in headers.raw if name.lower() not in _HOP]
         return Head(headers.get("x-weight-versions", ""), response.status_code, kept, failed=not whole)
 
@@ -170,7 +170,7 @@
             headers.append((b"retry-after", f"{max(0.05, after_s):.2f}".encode()))
         return status, headers, body
 
-    def broken(self, mishap: TryMishap) -> bytes | None:
+    def broken(self, error: AttemptError) -> bytes | None:
         return None
 
     async def probe(self, known: Known) -> float:
--- a/src/finchswitch/platform/desk.py
+++ b/src/finchswitch/platform/desk.py
@@ -8,11 +8,11 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
-from finchswitch.accord.change import confirm_current, take_change
-from finchswitch.accord.council import Council
 from finchswitch.constants import CHANGE_MOST_BYTES
+from finchswitch.control.changes import confirm_current, take_change
+from finchswitch.control.control_node import ControlNode
 from finchswitch.platform.configuration import document_of, edits_of, named, whole_of
-from finchswitch.wire.strict import read_json
+from finchswitch.transport.strict import read_json
 
 __all__ = ["desk_routes"]
 
@@ -20,7 +20,7 @@
 _STATUS = {202: 200, 409: 412, 422: 400}
 
 
-def desk_routes(council: Council) -> list[Route]:
+def desk_routes(control: ControlNode) -> list[Route]:
     async def change(request: Request) -> Response:
         body = b""
         async for part in request.stream():
@@ -39,10 +39,10 @@
         digest = hashlib.sha256(f"{request.method} {match} ".encode() + body).hexdigest()
         kind = "configuration" if whole else "edits"
         wanted = {"changeId": digest, "baseRevision": int(match), kind: content.unwrap()}
-        return _answer(await take_change(council, wanted))
+        return _answer(await take_change(control, wanted))
 
     async def show(request: Request) -> Response:
-        answer = await confirm_current(council)
+        answer = await confirm_current(control)
         if answer["status"] != 200:
             return _answer(answer)
         return JSONResponse(document_of(answer["configuration"]))
--- a/src/finchswitch/platform/instances.py
+++ b/src/finchswitch/platform/instances.py
@@ -5,8 +5,8 @@
 import httpx
 
 from finchswitch.constants import PAGES_MOST
-from finchswitch.mishap import Mishap, MishapKind
-from finchswitch.transit.platform import Listed
+from finchswitch.errors import ErrorKind, FleetError
+from finchswitch.router.platform import Listed
 
 __all__ = ["InstanceLister", "read_page"]
 
@@ -32,7 +32,7 @@
         ]
         token = raw.get("next_token")
     except (KeyError, TypeError, ValueError, AttributeError) as wrong:
-        raise Mishap(MishapKind.BROKEN, "list", peer, f"not a page of instances: {wrong!r}") from None
+        raise FleetError(ErrorKind.BROKEN, "list", peer, f"not a page of instances: {wrong!r}") from None
     return rows, token if isinstance(token, str) else None
 
 
@@ -52,10 +52,10 @@
                 response.raise_for_status()
                 rows, token = read_page(response.json(), self._address)
             except httpx.HTTPError as error:
-                raise Mishap(MishapKind.SILENT, "list", self._address, repr(error)) from None
+                raise FleetError(ErrorKind.SILENT, "list", self._address, repr(error)) from None
             except ValueError as error:
-                raise Mishap(MishapKind.BROKEN, "list", self._address, str(error)) from None
+                raise FleetError(ErrorKind.BROKEN, "list", self._address, str(error)) from None
             listed += rows
             if token is None:
                 return listed
-        raise Mishap(MishapKind.BROKEN, "list", self._address, f"more than {PAGES_MOST} pages")
+        raise FleetError(ErrorKind.BROKEN, "list", self._address, f"more than {PAGES_MOST} pages")
--- a/src/finchswitch/platform/programs.py
+++ b/src/finchswitch/platform/programs.py
@@ -11,10 +11,10 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
-from finchswitch.accord.council import Council
-from finchswitch.accord.desk import make_desk
+from finchswitch.control.control_node import ControlNode
+from finchswitch.control.operator_api import make_operator_api
+from finchswitch.errors import FleetError, causes_of
 from finchswitch.logs import to_stderr
-from finchswitch.mishap import Mishap, causes_of
 from finchswitch.platform.calls import PlatformDialect
 from finchswitch.platform.desk import desk_routes
 from finchswitch.platform.instances import InstanceLister
@@ -22,9 +22,9 @@
 from finchswitch.programs.accord import serve_accord
 from finchswitch.programs.startup import Startup
 from finchswitch.programs.transit import serve_transit
-from finchswitch.transit.doors import Calls, make_doors
-from finchswitch.transit.node import Node
-from finchswitch.wire.real import RealWorld
+from finchswitch.router.doors import Calls, make_doors
+from finchswitch.router.node import Node
+from finchswitch.transport.real import RealWorld
 
 __all__ = ["main", "make_control", "make_looks"]
 
@@ -40,9 +40,9 @@
     return Starlette(routes=[Route(_READINESS, ready), *make_doors(node).routes])
 
 
-def make_control(council: Council) -> Starlette:
+def make_control(control: ControlNode) -> Starlette:
     """A control node's desk, in the platform's words and in the product's own."""
-    return Starlette(routes=[*desk_routes(council), *make_desk(council).routes])
+    return Starlette(routes=[*desk_routes(control), *make_operator_api(control).routes])
 
 
 async def _transit(startup: Startup, readiness: str) -> None:
@@ -79,8 +79,8 @@
     to_stderr(startup.log, startup.name, startup.log_form)
     try:
         anyio.run(_transit if program == "transit" else _accord, startup, readiness, backend="trio")
-    except (OSError, Mishap, ExceptionGroup) as ended:
-        if not all(isinstance(each, (OSError, Mishap)) for each in causes_of(ended)):
+    except (OSError, FleetError, ExceptionGroup) as ended:
+        if not all(isinstance(each, (OSError, FleetError)) for each in causes_of(ended)):
             raise
         print("\n".join(f"{program} {startup.name} ends: {each}" for each in causes_of(ended)), file=sys.stderr)
         return 1
--- a/src/finchswitch/platform/stand_in.py
+++ b/src/finchswitch/platform/stand_in.py
@@ -10,7 +10,7 @@
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response
 
-from finchswitch.wire import World
+from finchswitch.transport import World
 
 __all__ = ["Ran", "Reached", "StandInInstance", "time_ms"]
 
--- a/src/finchswitch/platform/stand_in_clients.py
+++ b/src/finchswitch/platform/stand_in_clients.py
@@ -11,7 +11,7 @@
 import httpx
 
 from finchswitch.platform.stand_in import time_ms
-from finchswitch.rehearsal.callers import Desk
+from finchswitch.simulation.callers import Desk
 
 __all__ = ["Asked", "Gate", "Sent", "ask", "send_change"]
 
--- a/src/finchswitch/platform/stand_in_fleet.py
+++ b/src/finchswitch/platform/stand_in_fleet.py
@@ -13,9 +13,9 @@
 import yaml
 from anyio.abc import TaskGroup
 
-from finchswitch.accord.asks import run_council
-from finchswitch.accord.council import Council
-from finchswitch.constants import CREED_PART
+from finchswitch.constants import CONFIGURATION_PART
+from finchswitch.control.control_node import ControlNode
+from finchswitch.control.server import run_control_node
 from finchswitch.platform.calls import PlatformDialect
 from finchswitch.platform.instances import InstanceLister
 from finchswitch.platform.programs import make_control, make_looks
@@ -26,13 +26,13 @@
 from finchswitch.platform.stand_in_documents import SERVICE
 from finchswitch.platform.stand_in_list import StandInList
 from finchswitch.programs.startup import Startup
-from finchswitch.rehearsal.deployments import Deployment
-from finchswitch.rehearsal.disk import SimDisk
-from finchswitch.rehearsal.play import in_virtual_time
-from finchswitch.rehearsal.theatre import RUNNER_PORT, Actor, Theatre
-from finchswitch.transit.asks import run_node
-from finchswitch.transit.doors import Calls
-from finchswitch.transit.node import Node
+from finchswitch.router.asks import run_node
+from finchswitch.router.doors import Calls
+from finchswitch.router.node import Node
+from finchswitch.simulation.cluster import RUNNER_PORT, Cluster, Process
+from finchswitch.simulation.deployments import Deployment
+from finchswitch.simulation.disk import SimDisk
+from finchswitch.simulation.play import in_virtual_time
 
 __all__ = ["DEPLOYMENT", "StandInFleet", "play_fleet"]
 
@@ -42,7 +42,7 @@
 _BUDGET = {"retry_budget_ratio": 0.2, "budget_window_s": 10, "budget_extra": 52}
 
 
-class StandInFleet(Theatre):
+class StandInFleet(Cluster):
     def __init__(self, seed: int, group: TaskGroup, folder: Path) -> None:
         super().__init__(DEPLOYMENT, seed, group)
         self.listing, self.instances = StandInList(), dict[str, StandInInstance]()
@@ -58,67 +58,67 @@
         self._hosts += 1
         host = host or f"10.0.2.{self._hosts}"
         self.instances[incarnation] = StandInInstance(self._world(host), service, incarnation, DEPLOYMENT.slots)
-        actor = self.actors[incarnation] = Actor(incarnation, host, "runner", "")
-        self._group.start_soon(self._run, actor, self._run_runner)
+        process = self.processes[incarnation] = Process(incarnation, host, "runner", "")
+        self._group.start_soon(self._run, process, self._run_runner)
         self.listing.put(incarnation, service, f"{host}{RUNNER_PORT}", DEPLOYMENT.slots)
 
-    async def _run_runner(self, actor: Actor, group: TaskGroup) -> None:
-        instance = self.instances[actor.name]
-        await instance.world.serve_http(instance, f"{actor.host}{RUNNER_PORT}", anyio.Event())
+    async def _run_runner(self, process: Process, group: TaskGroup) -> None:
+        instance = self.instances[process.name]
+        await instance.world.serve_http(instance, f"{process.host}{RUNNER_PORT}", anyio.Event())
 
     def leave(self, incarnation: str) -> None:
         """From now on the runner is leaving; the list shows it a little later."""
         self.instances[incarnation].leaving = True
         self.listing.drain(incarnation)
 
-    def _startup(self, actor: Actor) -> Startup:
-        kind = "edge" if actor.kind == "transit" else "core"
+    def _startup(self, process: Process) -> Startup:
+        kind = "edge" if process.kind == "transit" else "core"
         seeds = [f"{each.host}:8000" for each in self.of_kind("accord")[:3]]
-        fields: dict[str, Any] = {"node_name": actor.name, "machine_class": kind, "zone": actor.district}
-        listen = {"front_http1": f"{actor.host}:8000", "readiness": f"{actor.host}:8001"}
-        fields["listen_addresses"] = listen if kind == "edge" else {"control_plane": f"{actor.host}:8000"}
-        fields |= {"ip_address": actor.host, "internal_port_range": [7100, 7115], "seed_nodes": seeds}
+        fields: dict[str, Any] = {"node_name": process.name, "machine_class": kind, "zone": process.district}
+        listen = {"front_http1": f"{process.host}:8000", "readiness": f"{process.host}:8001"}
+        fields["listen_addresses"] = listen if kind == "edge" else {"control_plane": f"{process.host}:8000"}
+        fields |= {"ip_address": process.host, "internal_port_range": [7100, 7115], "seed_nodes": seeds}
         fields |= {"first_start": self._first_start, "data_directory": "/data" if kind == "core" else None}
         fields |= {"fault_tolerance": {"machines": 1, "zones": 0, "regions": 0}}
         fields |= {"timing_bounds": {**_BOUNDS, **_BUDGET}, "cloud_api": {"address": _CLOUD}}
-        file = self._folder / f"{actor.name}.yaml"
+        file = self._folder / f"{process.name}.yaml"
         file.write_text(yaml.safe_dump(fields), "utf-8")
-        return read_settings(actor.kind, str(file)).unwrap()[0]
+        return read_settings(process.kind, str(file)).unwrap()[0]
 
-    async def _run_accord(self, actor: Actor, group: TaskGroup) -> None:
-        world = self._world(actor.host)
-        disk = self.disks.setdefault(actor.name, SimDisk(self.net.machine(actor.host)))
-        actor.council = Council(world, disk, self._startup(actor), group)
-        group.start_soon(world.serve_http, make_control(actor.council), f"{actor.host}:8000", anyio.Event())
-        await run_council(actor.council)
+    async def _run_accord(self, process: Process, group: TaskGroup) -> None:
+        world = self._world(process.host)
+        disk = self.disks.setdefault(process.name, SimDisk(self.net.machine(process.host)))
+        process.control = ControlNode(world, disk, self._startup(process), group)
+        group.start_soon(world.serve_http, make_control(process.control), f"{process.host}:8000", anyio.Event())
+        await run_control_node(process.control)
 
-    async def _run_transit(self, actor: Actor, group: TaskGroup) -> None:
-        world = self._world(actor.host)
-        node = actor.node = Node(world, self._startup(actor), group, PlatformDialect(), InstanceLister)
-        stop, closed = actor.stop, actor.closed = anyio.Event(), anyio.Event()
+    async def _run_transit(self, process: Process, group: TaskGroup) -> None:
+        world = self._world(process.host)
+        node = process.node = Node(world, self._startup(process), group, PlatformDialect(), InstanceLister)
+        stop, closed = process.stop, process.closed = anyio.Event(), anyio.Event()
 
         async def serve() -> None:
-            await world.serve_http(Calls(node), f"{actor.host}:8000", stop)
+            await world.serve_http(Calls(node), f"{process.host}:8000", stop)
             closed.set()
 
         group.start_soon(serve)
-        group.start_soon(world.serve_http, make_looks(node), f"{actor.host}:8001", anyio.Event())
+        group.start_soon(world.serve_http, make_looks(node), f"{process.host}:8001", anyio.Event())
         await run_node(node)
 
     async def replace_core(self, lost: str, name: str, host: str) -> None:
         """The machine is gone for good; another with an empty disk joins at a new address."""
         self.kill(lost, power=True)
-        del self.actors[lost], self.disks[lost]
+        del self.processes[lost], self.disks[lost]
         await self.outside.sleep(1_000)
         self.cast(name, "accord", "core", host)
         self.start(name)
 
     def owner(self) -> str:
         """The control node that owns the configuration, by its own word."""
-        for actor in self.of_kind("accord"):
-            council = actor.council
-            if actor.group is not None and council is not None and council.registers[CREED_PART].owns():
-                return actor.name
+        for process in self.of_kind("accord"):
+            control = process.control
+            if process.group is not None and control is not None and control.proposers[CONFIGURATION_PART].owns():
+                return process.name
         return ""
 
     async def open_up(self, document: dict[str, Any]) -> None:
@@ -132,7 +132,7 @@
     async def operate(self, method: str, match: int, document: dict[str, Any]) -> Sent:
         sent = Sent(method, match, document)
         self.sent.append(sent)
-        desks = [f"{actor.host}:8000" for actor in self.of_kind("accord")]
+        desks = [f"{process.host}:8000" for process in self.of_kind("accord")]
         self.chance.shuffle(desks)
         async with httpx.AsyncClient(transport=self.outside.http_transport(), trust_env=False) as client:
             await send_change(client, desks, sent)
@@ -143,9 +143,9 @@
         until_ms = self.now_ms() + most_ms
         async with httpx.AsyncClient(transport=self.outside.http_transport(), trust_env=False) as client:
             while self.now_ms() < until_ms:
-                for actor in self.of_kind("accord"):
+                for process in self.of_kind("accord"):
                     try:
-                        answer = await client.get(f"http://{actor.host}:8000/api/configuration", timeout=1.0)
+                        answer = await client.get(f"http://{process.host}:8000/api/configuration", timeout=1.0)
                         if answer.status_code == 200:
                             return dict(answer.json())
                     except httpx.HTTPError:
--- a/src/finchswitch/programs/accord.py
+++ b/src/finchswitch/programs/accord.py
@@ -1,4 +1,4 @@
-"""accord, the control node: a council on its data folder and the operators' desk."""
+"""accord, the control node: a control on its data folder and the operators' desk."""
 
 import signal
 from collections.abc import Callable
@@ -8,14 +8,14 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from finchswitch.accord.asks import run_council
-from finchswitch.accord.council import Council
-from finchswitch.accord.desk import make_desk
 from finchswitch.constants import CHANGE_WAIT_MS
+from finchswitch.control.control_node import ControlNode
+from finchswitch.control.operator_api import make_operator_api
+from finchswitch.control.server import run_control_node
 from finchswitch.logs import prefix
 from finchswitch.programs.startup import Startup
-from finchswitch.shelf import RealDisk
-from finchswitch.wire.real import RealWorld
+from finchswitch.storage import RealDisk
+from finchswitch.transport.real import RealWorld
 
 __all__ = ["run_accord", "serve_accord"]
 
@@ -24,26 +24,26 @@
 
 async def run_accord(startup: Startup) -> None:
     async with anyio.create_task_group() as group:
-        await serve_accord(RealWorld(), startup, group, make_desk, lambda: startup.seeds)
+        await serve_accord(RealWorld(), startup, group, make_operator_api, lambda: startup.seeds)
 
 
 async def serve_accord(
     world: RealWorld,
     startup: Startup,
     group: TaskGroup,
-    desk: Callable[[Council], Any],
+    desk: Callable[[ControlNode], Any],
     seeds: Callable[[], list[str]],
 ) -> None:
     """Run a control node behind its desk until SIGTERM; on SIGHUP the seeds are read again."""
-    council = Council(world, RealDisk(Path(startup.data)), startup, group)
+    control = ControlNode(world, RealDisk(Path(startup.data)), startup, group)
     stop, closed = anyio.Event(), anyio.Event()
-    group.start_soon(run_council, council)
-    group.start_soon(_serve, world, desk(council), startup.http, stop, closed)
+    group.start_soon(run_control_node, control)
+    group.start_soon(_serve, world, desk(control), startup.http, stop, closed)
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
         async for each in signals:
             if each is not signal.SIGHUP:
                 break
-            council.kindred.new_seeds(seeds())
+            control.control_peers.new_seeds(seeds())
     _log.info("Stopping.")
     stop.set()
     with anyio.move_on_after(CHANGE_WAIT_MS / 1000):
--- a/src/finchswitch/programs/cli.py
+++ b/src/finchswitch/programs/cli.py
@@ -13,8 +13,8 @@
 import typer
 from returns.result import Failure
 
+from finchswitch.errors import FleetError, causes_of
 from finchswitch.logs import to_stderr
-from finchswitch.mishap import Mishap, causes_of
 from finchswitch.programs import operate, stand_ins
 from finchswitch.programs.startup import Startup, read_startup
 
@@ -51,9 +51,9 @@
     to_stderr(startup.log, startup.name, startup.log_form)
     try:
         anyio.run(run, startup, backend="trio")
-    except (OSError, Mishap, ExceptionGroup) as ended:
+    except (OSError, FleetError, ExceptionGroup) as ended:
         causes = list(causes_of(ended))
-        if not all(isinstance(each, (OSError, Mishap)) for each in causes):
+        if not all(isinstance(each, (OSError, FleetError)) for each in causes):
             raise
         for each in dict.fromkeys(str(each) for each in causes):
             typer.echo(f"{program} {startup.name} ends: {each}", err=True)
@@ -143,7 +143,7 @@
 ) -> None:
     """Measure a way to draw in virtual time; prints one line of JSON."""
     from finchswitch.programs.rehearse import run_measure
-    from finchswitch.rehearsal.measure import Trial
+    from finchswitch.simulation.measure import Trial
 
     trial = Trial(deployment, condition, draw, seed, seconds, hot_most, spill_share, belief_ms, cache_tokens)
     raise typer.Exit(run_measure(trial))
@@ -159,8 +159,8 @@
 
     try:
         held, wrong = verify_folder(data)
-    except Mishap as mishap:
-        typer.echo(str(mishap), err=True)
+    except FleetError as error:
+        typer.echo(str(error), err=True)
         raise typer.Exit(2) from None
     if as_json:
         typer.echo(json.dumps({"held": held, "wrong": wrong}, indent=2))
--- a/src/finchswitch/programs/faults.py
+++ b/src/finchswitch/programs/faults.py
@@ -7,9 +7,9 @@
 import anyio
 
 from finchswitch.programs.fleet import Fleet
-from finchswitch.rehearsal.callers import Desk
-from finchswitch.rehearsal.history import Change, Fault, History
-from finchswitch.wire import World
+from finchswitch.simulation.callers import Desk
+from finchswitch.simulation.history import Change, Fault, History
+from finchswitch.transport import World
 
 __all__ = ["FAULTS", "Hands"]
 
--- a/src/finchswitch/programs/fleet.py
+++ b/src/finchswitch/programs/fleet.py
@@ -10,9 +10,9 @@
 import httpx
 
 from finchswitch.constants import STAGE_HOST, STAGE_PORT
-from finchswitch.rehearsal.deployments import Deployment
-from finchswitch.rehearsal.history import Arrival, History, ListEvent, RunSeen
-from finchswitch.wire import World
+from finchswitch.simulation.deployments import Deployment
+from finchswitch.simulation.history import Arrival, History, ListEvent, RunSeen
+from finchswitch.transport import World
 
 __all__ = ["Fleet"]
 
--- a/src/finchswitch/programs/operate.py
+++ b/src/finchswitch/programs/operate.py
@@ -10,11 +10,11 @@
 from returns.result import Failure
 
 from finchswitch.affinity import home_order, opening_of
+from finchswitch.configuration import read_configuration
 from finchswitch.constants import CHANGE_WAIT_MS
-from finchswitch.creed import read_creed
 from finchswitch.programs.mirror import mirror
 from finchswitch.programs.replay import replay
-from finchswitch.wire.strict import read_json
+from finchswitch.transport.strict import read_json
 
 __all__ = ["add_to"]
 
@@ -31,13 +31,13 @@
 def check(file: Annotated[Path, typer.Argument(help="A configuration, JSON.")]) -> None:
     """Check a configuration without sending it."""
     content = _load(file)
-    read = read_creed(content)
+    read = read_configuration(content)
     if isinstance(read, Failure):
         for fault in read.failure():
             typer.echo(fault, err=True)
         raise typer.Exit(2)
-    creed = read.unwrap()
-    typer.echo(f"sound: {len(creed.services)} services, {len(creed.runners)} runners, {len(creed.bindings)} bindings")
+    held = read.unwrap()
+    typer.echo(f"sound: {len(held.services)} services, {len(held.runners)} runners, {len(held.bindings)} bindings")
 
 
 def change(
@@ -116,9 +116,9 @@
     opening: Annotated[Path, typer.Argument(help="A file with the system message.")],
 ) -> None:
     """Show which runners own an opening, its home first."""
-    creed = read_creed(_get(at, "/v1/configuration")["configuration"]).unwrap()
+    configuration = read_configuration(_get(at, "/v1/configuration")["configuration"]).unwrap()
     digest = opening_of(service, [{"role": "system", "content": opening.read_text("utf-8")}]).digest
-    bound = [each.runners for each in creed.bindings.values() if each.service == service]
+    bound = [each.runners for each in configuration.bindings.values() if each.service == service]
     if not bound:
         typer.echo(f"no binding for {service}", err=True)
         raise typer.Exit(1)
--- a/src/finchswitch/programs/rehearse.py
+++ b/src/finchswitch/programs/rehearse.py
@@ -7,16 +7,16 @@
 import typer
 
 from finchswitch.logs import to_stderr
-from finchswitch.rehearsal.deployments import DEPLOYMENTS
-from finchswitch.rehearsal.hollow import HollowRun, run_hollow
-from finchswitch.rehearsal.measure import CONDITIONS, Trial, measure
-from finchswitch.rehearsal.report import make_report
-from finchswitch.rehearsal.rivals import RIVALS
-from finchswitch.rehearsal.slopes import measure_slopes
-from finchswitch.rehearsal.slopes_control import control_subjects
-from finchswitch.rehearsal.slopes_memory import memory_subjects
-from finchswitch.rehearsal.slopes_nodes import node_subjects
-from finchswitch.rehearsal.sweep import ALL, perform
+from finchswitch.simulation.deployments import DEPLOYMENTS
+from finchswitch.simulation.hollow import HollowRun, run_hollow
+from finchswitch.simulation.measure import CONDITIONS, Trial, measure
+from finchswitch.simulation.report import make_report
+from finchswitch.simulation.rivals import RIVALS
+from finchswitch.simulation.slopes import measure_slopes
+from finchswitch.simulation.slopes_control import control_subjects
+from finchswitch.simulation.slopes_memory import memory_subjects
+from finchswitch.simulation.slopes_nodes import node_subjects
+from finchswitch.simulation.sweep import ALL, perform
 
 __all__ = ["run_measure", "run_rehearsal", "run_scale", "run_slopes"]
 
--- a/src/finchswitch/programs/replay.py
+++ b/src/finchswitch/programs/replay.py
@@ -8,9 +8,9 @@
 import typer
 from returns.result import Failure
 
-from finchswitch.rehearsal.replay import Recording, read_recording
-from finchswitch.rehearsal.replay import replay as replay_recording
-from finchswitch.wire.real import RealWorld
+from finchswitch.simulation.replay import Recording, read_recording
+from finchswitch.simulation.replay import replay as replay_recording
+from finchswitch.transport.real import RealWorld
 
 __all__ = ["replay"]
 
--- a/src/finchswitch/programs/stage.py
+++ b/src/finchswitch/programs/stage.py
@@ -20,12 +20,12 @@
 
 from finchswitch.programs.faults import FAULTS, Hands
 from finchswitch.programs.fleet import Fleet
-from finchswitch.rehearsal.callers import Calling, Desk, call_openly
-from finchswitch.rehearsal.checkers import judge
-from finchswitch.rehearsal.deployments import DEPLOYMENTS, Deployment
-from finchswitch.rehearsal.history import Change, History, Read
-from finchswitch.rehearsal.report import make_report, print_report
-from finchswitch.wire.real import RealWorld
+from finchswitch.simulation.callers import Calling, Desk, call_openly
+from finchswitch.simulation.checkers import judge
+from finchswitch.simulation.deployments import DEPLOYMENTS, Deployment
+from finchswitch.simulation.history import Change, History, Read
+from finchswitch.simulation.report import make_report, print_report
+from finchswitch.transport.real import RealWorld
 
 __all__ = ["run_stage"]
 
@@ -82,7 +82,7 @@
         await fleet.list_runners(client, history, world)
         founded = await _until(world, fleet.founded, client, 20_000)
         history.notes["foundedMs"] = founded
-        await _change(world, client, fleet, history, 0, {"configuration": fleet.deployment.creed()}, "first")
+        await _change(world, client, fleet, history, 0, {"configuration": fleet.deployment.configuration()}, "first")
         desk = Desk(world, fleet.doors(), sights=history.sights)
         group.start_soon(desk.look)
         history.notes["readyMs"] = await _until(world, lambda _: _all_ready(desk), client, 20_000)
--- a/src/finchswitch/programs/stand_ins.py
+++ b/src/finchswitch/programs/stand_ins.py
@@ -6,9 +6,9 @@
 import anyio
 import typer
 
-from finchswitch.rehearsal.platform import StandInPlatform
-from finchswitch.rehearsal.runner import StandInRunner, Traits
-from finchswitch.wire.real import RealWorld
+from finchswitch.simulation.platform import StandInPlatform
+from finchswitch.simulation.runner import StandInRunner, Traits
+from finchswitch.transport.real import RealWorld
 
 __all__ = ["app"]
 
--- a/src/finchswitch/programs/transit.py
+++ b/src/finchswitch/programs/transit.py
@@ -10,11 +10,11 @@
 from finchswitch.constants import CALLER_STILL_MS, STOP_CLOSE_MS, STOP_LOOK_MS
 from finchswitch.logs import prefix
 from finchswitch.programs.startup import Startup
-from finchswitch.transit.asks import run_node
-from finchswitch.transit.doors import make_doors
-from finchswitch.transit.node import Node
-from finchswitch.wire import World
-from finchswitch.wire.real import RealWorld
+from finchswitch.router.asks import run_node
+from finchswitch.router.doors import make_doors
+from finchswitch.router.node import Node
+from finchswitch.transport import World
+from finchswitch.transport.real import RealWorld
 
 __all__ = ["run_transit", "serve_transit", "stop_node"]
 
@@ -54,7 +54,7 @@
     node.stopping = True
     await node.world.sleep(bounds.stop_settle_ms)
     node.member.stop()
-    most_ms: float = node.creed().settings.answer_most_ms + 2 * CALLER_STILL_MS
+    most_ms: float = node.configuration().settings.answer_most_ms + 2 * CALLER_STILL_MS
     if bounds.grace_ms is not None:
         most_ms = began_ms + bounds.grace_ms - node.world.now_ms()
     with anyio.move_on_after(most_ms / 1000):
--- a/src/finchswitch/programs/verify.py
+++ b/src/finchswitch/programs/verify.py
@@ -6,9 +6,9 @@
 from pathlib import Path
 from typing import Any
 
-from finchswitch.accord.document import part_names
-from finchswitch.mishap import Mishap, MishapKind
-from finchswitch.shelf import RealDisk, Shelf
+from finchswitch.control.document import part_names
+from finchswitch.errors import ErrorKind, FleetError
+from finchswitch.storage import RealDisk, VersionedFile
 
 __all__ = ["verify_folder"]
 
@@ -21,9 +21,9 @@
 
 
 def verify_folder(root: Path) -> tuple[dict[str, Any], list[str]]:
-    """What a data folder holds, and everything that is wrong with it; raises a Mishap where there is no folder."""
+    """What a data folder holds, and everything that is wrong with it; raises a FleetError where there is no folder."""
     if not root.is_dir():
-        raise Mishap(MishapKind.INVALID, "verify", str(root), "no such folder")
+        raise FleetError(ErrorKind.INVALID, "verify", str(root), "no such folder")
     disk, wrong = _Reading(root), list[str]()
     store = _newest(disk, "store", wrong)
     held: dict[str, Any] = {"store": "", "fleet": "", "founders": [], "parts": {}}
@@ -49,9 +49,9 @@
 
 def _newest(disk: RealDisk, folder: str, wrong: list[str]) -> dict[str, Any] | None:
     try:
-        return Shelf(disk, folder).newest()
-    except Mishap as mishap:
-        wrong.append(str(mishap))
+        return VersionedFile(disk, folder).newest()
+    except FleetError as error:
+        wrong.append(str(error))
         return None
 
 
--- a/src/finchswitch/transit/asks.py
+++ b/src/finchswitch/router/asks.py
@@ -1,9 +1,9 @@
 """What a routing node answers over the wire, and the loops that it runs."""
 
+from finchswitch.errors import ErrorKind, FleetError
 from finchswitch.logs import prefix
-from finchswitch.mishap import Mishap, MishapKind
-from finchswitch.transit.node import Node
-from finchswitch.wire import GONE, Asked, Message, field, serve_asks, settle
+from finchswitch.router.node import Node
+from finchswitch.transport import GONE, Asked, Message, field, serve_asks, settle
 
 __all__ = ["run_node"]
 
@@ -36,4 +36,4 @@
         if asked.body.get("plane") == "control":
             node.member.controls.meet(field(asked.body, "address", str, asked.peer))
         return {"plane": "routing", "controls": node.member.controls.known()}
-    raise Mishap(MishapKind.BROKEN, "shape", asked.peer, f"unknown kind {asked.kind[:40]}")
+    raise FleetError(ErrorKind.BROKEN, "shape", asked.peer, f"unknown kind {asked.kind[:40]}")
--- a/src/finchswitch/transit/attempt.py
+++ b/src/finchswitch/router/attempt.py
@@ -1,4 +1,4 @@
-"""One try at one runner: from the connection to the end of a whole answer, or to the mishap that ended it.
+"""One try at one runner: from the connection to the end of a whole answer, or to the error that ended it.
 
 A try that failed says whether the request surely did not run, or may have. What may have left as a byte is never
 called not run, unless the runner itself refused in the way its interface documents as not started.
@@ -12,12 +12,12 @@
 import httpx
 
 from finchswitch.constants import DIAL_WAIT_MS, FIRST_WAIT_SHARE, PROOF_WAIT_MS, RUNNER_SILENT_MS
-from finchswitch.transit.dialect import Call, Dialect, Fate, Head, Piece, TryMishap
-from finchswitch.transit.proof import TICKET, Ticket
-from finchswitch.transit.roster import Known
+from finchswitch.router.dialect import AttemptError, Call, Dialect, Fate, Head, Piece
+from finchswitch.router.proof import TICKET, Ticket
+from finchswitch.router.roster import Known
 
 if TYPE_CHECKING:
-    from finchswitch.transit.node import Node
+    from finchswitch.router.node import Node
 
 __all__ = ["answer_of"]
 
@@ -32,7 +32,7 @@
     left_ms: float,
     after: str | None,
 ) -> AsyncGenerator[tuple[Head, Piece | None], None]:
-    """Send the call and yield the head of its answer with each piece; raises a TryMishap unless it came whole."""
+    """Send the call and yield the head of its answer with each piece; raises a AttemptError unless it came whole."""
     TICKET.set(ticket)
     request = dialect.request(call, known, left_ms, after)
     connect_ms = DIAL_WAIT_MS if dialect.kept else PROOF_WAIT_MS
@@ -45,7 +45,7 @@
     }
     step, first_ms, gap_ms = "send", *_patience(call, due_ms, silent_ms)
     if dialect.kept and not node.permits(known.incarnation, ticket):
-        raise TryMishap(Fate.NOT_RUN, "permit", known.runner, "may not be sent to any more")
+        raise AttemptError(Fate.NOT_RUN, "permit", known.runner, "may not be sent to any more")
     try:
         with anyio.fail_after(first_ms / 1000):
             response = await known.transport.handle_async_request(request)
@@ -68,10 +68,10 @@
             with anyio.CancelScope(shield=True):
                 await response.aclose()
     except (httpx.ConnectError, httpx.ConnectTimeout) as error:
-        raise TryMishap(Fate.NOT_RUN, "permit" if ticket.refused else "connect", known.runner, str(error)) from None
+        raise AttemptError(Fate.NOT_RUN, "permit" if ticket.refused else "connect", known.runner, str(error)) from None
     except (httpx.HTTPError, httpx.StreamError, TimeoutError) as error:
         fate, step = (Fate.UNKNOWN, step) if ticket.generation >= 0 else (Fate.NOT_RUN, "connect")
-        raise TryMishap(fate, step, known.runner, f"{type(error).__name__} {error}") from None
+        raise AttemptError(fate, step, known.runner, f"{type(error).__name__} {error}") from None
 
 
 async def _next(pieces: AsyncGenerator[Piece, None]) -> Piece | None:
--- a/src/finchswitch/transit/call.py
+++ b/src/finchswitch/router/call.py
@@ -14,12 +14,12 @@
 from finchswitch.affinity import Drawn
 from finchswitch.constants import RETRY_AFTER_LEAST_S, RETRY_AFTER_MOST_S
 from finchswitch.logs import prefix
-from finchswitch.transit.attempt import answer_of
-from finchswitch.transit.dialect import Call, Dialect, Fate, Head, Headers, Refusal, TryMishap
-from finchswitch.transit.proof import Ticket
+from finchswitch.router.attempt import answer_of
+from finchswitch.router.dialect import AttemptError, Call, Dialect, Fate, Head, Headers, Refusal
+from finchswitch.router.proof import Ticket
 
 if TYPE_CHECKING:
-    from finchswitch.transit.node import Node
+    from finchswitch.router.node import Node
 
 __all__ = ["Broken", "answer_call"]
 
@@ -95,14 +95,14 @@
         try:
             await _pass_on(node, dialect, call, drawn, due_ms, began_ms, flow)
             return True
-        except TryMishap as mishap:
-            _log.info("A try failed, {}, after {} pieces. {}", mishap.fate.value, flow.pieces, mishap)
-            last, reason = mishap, str(mishap)
+        except AttemptError as error:
+            _log.info("A try failed, {}, after {} pieces. {}", error.fate.value, flow.pieces, error)
+            last, reason = error, str(error)
             tried.add(drawn.runner.runner)
-            fate = Fate.UNKNOWN if mishap.fate is Fate.UNKNOWN else fate
+            fate = Fate.UNKNOWN if error.fate is Fate.UNKNOWN else fate
             if fate is Fate.NOT_RUN:
                 node.sent.take_back(call.request_id)
-            node.missed(drawn.runner.incarnation, mishap)
+            node.missed(drawn.runner.incarnation, error)
         taken_up = call.resumable and (flow.head is None or (flow.at is not None and not flow.head.failed))
         repeats = flow.head is None and (fate is Fate.NOT_RUN or call.repeatable)
         if not (taken_up or repeats) or last.step == "limit" or len(tried) >= (call.most_runners or len(tried) + 1):
@@ -124,10 +124,10 @@
 async def _pass_on(
     node: "Node", dialect: Dialect, call: Call, drawn: Drawn, due_ms: float, began_ms: float, flow: _Flow
 ) -> None:
-    """One try; raises a TryMishap unless the answer is whole now."""
+    """One try; raises a AttemptError unless the answer is whole now."""
     known, seat = node.roster.known[drawn.runner.incarnation], node.take_seat(drawn)
     ticket = Ticket(call.request_id, call.repeatable, call.service, call.opening.digest, drawn.runner.runner)
-    limit_ms = call.limit_ms or float(node.creed().settings.answer_most_ms)
+    limit_ms = call.limit_ms or float(node.configuration().settings.answer_most_ms)
     left_ms = began_ms + limit_ms - node.world.now_ms()
     reason = "longer than its caller waits" if call.limit_ms else "longer than answerMostMs allows"
     with anyio.move_on_after(left_ms / 1000) as scope:
@@ -139,7 +139,7 @@
                         begun = True
                         seat.begun(head.weights)
                         if flow.head is not None and (head.failed or head.status != flow.head.status):
-                            raise TryMishap(Fate.UNKNOWN, "answer", known.runner, "does not take the answer up")
+                            raise AttemptError(Fate.UNKNOWN, "answer", known.runner, "does not take the answer up")
                         if flow.head is None:
                             status, headers = dialect.opened(call, head, ticket, drawn.way.value)
                             await flow.begin(head, status, headers)
@@ -152,9 +152,9 @@
             node.watch.end(watched)
             seat.free()
     if watched.given_up:
-        raise TryMishap(Fate.UNKNOWN, "silence", known.runner, "nothing came from it")
+        raise AttemptError(Fate.UNKNOWN, "silence", known.runner, "nothing came from it")
     if scope.cancelled_caught:
-        raise TryMishap(Fate.UNKNOWN, "limit", known.runner, reason)
+        raise AttemptError(Fate.UNKNOWN, "limit", known.runner, reason)
     node.vitals["complete"] += 1
     await flow.go_on(b"", more=False)
 
--- a/src/finchswitch/transit/crowds.py
+++ b/src/finchswitch/router/crowds.py
@@ -2,12 +2,12 @@
 
 from typing import TYPE_CHECKING
 
-from finchswitch.accord.document import part_of
 from finchswitch.affinity import Opening, Popularity
 from finchswitch.constants import HOT_MOST
+from finchswitch.control.document import part_of
 
 if TYPE_CHECKING:
-    from finchswitch.transit.node import Node
+    from finchswitch.router.node import Node
 
 __all__ = ["Crowds"]
 
@@ -28,15 +28,15 @@
 
     def count(self, opening: Opening) -> None:
         """Count a prompt by what it takes of a home, served or not: its own prefill, or its part of the slots."""
-        creed, service = self._node.creed(), opening.service
+        configuration, service = self._node.configuration(), opening.service
         name = self._node.bound.get(service)
         if name is not None:
-            bound = [creed.runners[each] for each in creed.bindings[name].runners]
+            bound = [configuration.runners[each] for each in configuration.bindings[name].runners]
             prefill_ms = 1000 * opening.own_tokens / min(each.prefill_tokens_per_s for each in bound)
             slots = min(each.slots for each in bound)
-        elif service in creed.services and creed.services[service].listed:
+        elif service in configuration.services and configuration.services[service].listed:
             prefill_ms = opening.own_tokens / self._node.burdens.speeds.tokens_a_ms(service)
-            slots = creed.services[service].slots
+            slots = configuration.services[service].slots
         else:
             return
         slot_ms = self._node.burdens.service_ms(service) / slots
--- a/src/finchswitch/transit/dialect.py
+++ b/src/finchswitch/router/dialect.py
@@ -13,14 +13,14 @@
 from returns.result import Result
 
 from finchswitch.affinity import Opening
-from finchswitch.mishap import Mishap, MishapKind
+from finchswitch.errors import ErrorKind, FleetError
 
 if TYPE_CHECKING:
-    from finchswitch.transit.node import Node
-    from finchswitch.transit.proof import Ticket
-    from finchswitch.transit.roster import Known
+    from finchswitch.router.node import Node
+    from finchswitch.router.proof import Ticket
+    from finchswitch.router.roster import Known
 
-__all__ = ["Call", "Dialect", "Fate", "Head", "Headers", "Piece", "Refusal", "TryMishap"]
+__all__ = ["Call", "Dialect", "Fate", "Head", "Headers", "Piece", "Refusal", "AttemptError"]
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -33,11 +33,11 @@
     UNKNOWN = "unknown"
 
 
-class TryMishap(Mishap):
+class AttemptError(FleetError):
     """A try's end without a whole answer."""
 
     def __init__(self, fate: Fate, step: str, peer: str, reason: str) -> None:
-        super().__init__(MishapKind.REFUSED if fate is Fate.NOT_RUN else MishapKind.LOST, step, peer, reason)
+        super().__init__(ErrorKind.REFUSED if fate is Fate.NOT_RUN else ErrorKind.LOST, step, peer, reason)
         self.fate = fate
 
 
@@ -97,10 +97,10 @@
         """The request for a runner; ``after`` is the last piece that came of an answer to be taken up."""
 
     def check_head(self, response: httpx.Response, known: "Known", call: Call) -> Head:
-        """The head of an answer; raises a TryMishap for a refusal or an answer of somebody else."""
+        """The head of an answer; raises a AttemptError for a refusal or an answer of somebody else."""
 
     def pieces(self, response: httpx.Response, known: "Known", call: Call) -> AsyncGenerator[Piece, None]:
-        """The pieces of a whole answer; raises a TryMishap unless it came whole."""
+        """The pieces of a whole answer; raises a AttemptError unless it came whole."""
 
     def opened(self, call: Call, head: Head, ticket: "Ticket", way: str) -> tuple[int, Headers]:
         """How the answer begins towards the caller."""
@@ -110,7 +110,7 @@
     ) -> tuple[int, Headers, bytes]:
         """A final answer without pieces."""
 
-    def broken(self, mishap: TryMishap) -> bytes | None:
+    def broken(self, error: AttemptError) -> bytes | None:
         """The last words of a broken answer; None where only a cut connection says it."""
 
     async def probe(self, known: "Known") -> float:
--- a/src/finchswitch/transit/doors.py
+++ b/src/finchswitch/router/doors.py
@@ -10,8 +10,8 @@
 
 from finchswitch.affinity import home_order
 from finchswitch.constants import HOMES_SHOWN
-from finchswitch.transit.call import answer_call
-from finchswitch.transit.node import Node
+from finchswitch.router.call import answer_call
+from finchswitch.router.node import Node
 
 __all__ = ["Calls", "make_doors"]
 
@@ -66,12 +66,12 @@
 
 def believed(node: Node) -> dict[str, Any]:
     """What this node believes of the fleet, for people and for ``mirror``."""
-    now_ms, creed = node.world.now_ms(), node.creed()
+    now_ms, configuration = node.world.now_ms(), node.configuration()
     runners = {
         known.incarnation: {
             "runner": known.runner,
             "address": known.address,
-            "state": known.walker.state.value,
+            "state": known.state_machine.state.value,
             "seats": node.burdens.seats(known.incarnation, now_ms),
             "weights": node.beliefs.weights(known.incarnation),
             "openings": node.beliefs.counts().get(known.incarnation, 0),
@@ -84,9 +84,9 @@
         "generations": node.news.generations(),
         "members": sorted(each["name"] for each in node.member.members),
         "runners": runners,
-        "homes": {name: _homes(node, name) for name in sorted(creed.services)},
-        "hot": {name: node.crowds.hot(name) for name in sorted(creed.services)},
-        "plans": {name: node.plan_state(name) for name in sorted(creed.plans)},
+        "homes": {name: _homes(node, name) for name in sorted(configuration.services)},
+        "hot": {name: node.crowds.hot(name) for name in sorted(configuration.services)},
+        "plans": {name: node.plan_state(name) for name in sorted(configuration.plans)},
         "fences": _fences(node),
     }
 
--- a/src/finchswitch/transit/duties.py
+++ b/src/finchswitch/router/duties.py
@@ -9,16 +9,16 @@
 
 import httpx
 
-from finchswitch.accord.document import part_of
 from finchswitch.affinity import pick_hot
 from finchswitch.constants import ASK_WAIT_MS, DUTY_MS, HOT_MOST, PLAN_STEP_MS
+from finchswitch.control.document import part_of
+from finchswitch.errors import ErrorKind, FleetError
 from finchswitch.logs import prefix
-from finchswitch.mishap import Mishap, MishapKind
-from finchswitch.transit.plans import PlanSight, advance
-from finchswitch.wire import Message
+from finchswitch.router.plans import PlanSight, advance
+from finchswitch.transport import Message
 
 if TYPE_CHECKING:
-    from finchswitch.transit.node import Node
+    from finchswitch.router.node import Node
 
 __all__ = ["Duties", "holder_of"]
 
@@ -69,21 +69,21 @@
             fence = await self._hold(key)
             if fence is not None:
                 await self._do(key, fence)
-        except Mishap as mishap:
-            _log.info("Duty {} met a mishap. {}", key, mishap)
+        except FleetError as error:
+            _log.info("Duty {} met an error. {}", key, error)
         finally:
             self._busy.discard(key)
 
     def _keys(self) -> list[str]:
         """The keys there are now; a service that nobody calls has none, however many are configured."""
-        creed = self._node.creed()
+        configuration = self._node.configuration()
         called = set(self._node.crowds.called())
         for beat in self._told():
             called.update(beat["counts"])
         vitals = self._node.bounds.vitals_poll_ms > 0
-        keys = [f"vitals/{name}" for name in creed.runners] if vitals else []
-        keys += [f"hot/{name}" for name in sorted(called) if name in creed.services]
-        return keys + [f"plan/{name}" for name in creed.plans]
+        keys = [f"vitals/{name}" for name in configuration.runners] if vitals else []
+        keys += [f"hot/{name}" for name in sorted(called) if name in configuration.services]
+        return keys + [f"plan/{name}" for name in configuration.plans]
 
     def _told(self) -> list[Message]:
         """What the other nodes count: each peer's word, or all of them as one."""
@@ -130,12 +130,12 @@
         except httpx.HTTPError as error:
             if isinstance(error, (httpx.ConnectError, httpx.ConnectTimeout)):
                 self._node.roster.down(known, str(error))
-            raise Mishap(MishapKind.SILENT, "vitals", name, repr(error)) from None
+            raise FleetError(ErrorKind.SILENT, "vitals", name, repr(error)) from None
         self.vitals[name] = [fence, known.incarnation, running, asked_ms]
         self._node.burdens.report(known.incarnation, running, asked_ms)
 
     async def _merge_hot(self, key: str, name: str, fence: int) -> None:
-        service, now_ms = self._node.creed().services[name], self._node.world.now_ms()
+        service, now_ms = self._node.configuration().services[name], self._node.world.now_ms()
         _, shares = self._node.crowds.popularity(name).top(4 * HOT_MOST, now_ms)
         for beat in self._told():
             _, told = beat["counts"].get(name, (0.0, {}))
@@ -153,7 +153,7 @@
         if now_ms - self._plan_ms.get(name, -1e18) < PLAN_STEP_MS:
             return
         self._plan_ms[name] = now_ms
-        plan, held = self._node.creed().plans[name], self._node.plan_state(name)
+        plan, held = self._node.configuration().plans[name], self._node.plan_state(name)
         up = self._node.roster.up()
         seats = sum(
             self._node.burdens.seats(known.incarnation, now_ms)
--- a/src/finchswitch/transit/node.py
+++ b/src/finchswitch/router/node.py
@@ -10,28 +10,28 @@
 import httpx
 from anyio.abc import TaskGroup
 
-from finchswitch.accord.document import part_of
 from finchswitch.affinity import Beliefs, Burdens, Choices, Drawn, Draws, Seatable, owners
 from finchswitch.bounds import Bounds
-from finchswitch.constants import CREED_PART, FORGET_MS, TRIES_FLOOR, TRUST_MS
-from finchswitch.creed import Creed, Service, read_creed
-from finchswitch.creed.routes import RouteTable
-from finchswitch.kinship.member import Member
-from finchswitch.relay import NewsBook
-from finchswitch.relay.follow import Follower
-from finchswitch.transit.crowds import Crowds
-from finchswitch.transit.dialect import Call, Dialect, Refusal, TryMishap
-from finchswitch.transit.duties import Duties
-from finchswitch.transit.own import OwnDialect
-from finchswitch.transit.plans import PlanPhase, runners_under
-from finchswitch.transit.platform import Lister, SliceLister
-from finchswitch.transit.proof import Ticket
-from finchswitch.transit.roster import Roster
-from finchswitch.transit.seat import Seat
-from finchswitch.transit.sent import Sent
-from finchswitch.transit.tries import Tries
-from finchswitch.transit.watch import Watch
-from finchswitch.wire import Book, Message, World
+from finchswitch.configuration import Configuration, Service, read_configuration
+from finchswitch.configuration.routes import RouteTable
+from finchswitch.constants import CONFIGURATION_PART, FORGET_MS, TRIES_FLOOR, TRUST_MS
+from finchswitch.control.document import part_of
+from finchswitch.distribution import NewsBook
+from finchswitch.distribution.follow import Follower
+from finchswitch.membership.member import Member
+from finchswitch.router.crowds import Crowds
+from finchswitch.router.dialect import AttemptError, Call, Dialect, Refusal
+from finchswitch.router.duties import Duties
+from finchswitch.router.own import OwnDialect
+from finchswitch.router.plans import PlanPhase, runners_under
+from finchswitch.router.platform import Lister, SliceLister
+from finchswitch.router.proof import Ticket
+from finchswitch.router.roster import Roster
+from finchswitch.router.seat import Seat
+from finchswitch.router.sent import Sent
+from finchswitch.router.tries import Tries
+from finchswitch.router.watch import Watch
+from finchswitch.transport import Book, Message, World
 
 __all__ = ["Node"]
 
@@ -69,46 +69,48 @@
         self.vitals = dict.fromkeys(("asked", "complete", "broken", "not-run", "unknown", "granted"), 0)
         self.ways: dict[str, int] = {}
         self.stopping, self._granted = False, False
-        self._creed: tuple[int, Any, Creed] = (-1, {}, Creed())
-        self._table = RouteTable(Creed())
+        self._configuration: tuple[int, Any, Configuration] = (-1, {}, Configuration())
+        self._table = RouteTable(Configuration())
         self.bound: dict[str, str] = {}  # the binding of each service; a checked configuration has one at the most
 
     def fresh_id(self) -> str:
         return f"fs-{self.world.chance.randbytes(12).hex()}"
 
     def generation(self) -> int:
-        return self.news.generation(CREED_PART)
+        return self.news.generation(CONFIGURATION_PART)
 
-    def creed(self) -> Creed:
+    def configuration(self) -> Configuration:
         """The configuration in effect here, read once a generation."""
-        if self._creed[0] != self.generation():
-            _, before, creed = self._creed
-            body = self.news.body(CREED_PART)
-            creed = read_creed(body, (before, creed)).value_or(creed)
-            self._creed, self._table = (self.generation(), body, creed), RouteTable(creed)
-            self.bound = {binding.service: name for name, binding in creed.bindings.items()}
-        return self._creed[2]
+        if self._configuration[0] != self.generation():
+            _, before, configuration = self._configuration
+            body = self.news.body(CONFIGURATION_PART)
+            configuration = read_configuration(body, (before, configuration)).value_or(configuration)
+            self._configuration, self._table = (self.generation(), body, configuration), RouteTable(configuration)
+            self.bound = {binding.service: name for name, binding in configuration.bindings.items()}
+        return self._configuration[2]
 
     def routes(self) -> RouteTable:
         """The routes in effect here."""
-        self.creed()
+        self.configuration()
         return self._table
 
     def may_try_again(self, service: str) -> bool:
         """Whether the budget of extra tries has room for one more now; if so it is counted."""
-        share = self.creed().settings.tries_share if self.bounds.tries_share is None else self.bounds.tries_share
+        share = (
+            self.configuration().settings.tries_share if self.bounds.tries_share is None else self.bounds.tries_share
+        )
         floor = self.bounds.tries_floor(len(self.member.members), TRIES_FLOOR)
         return self.tries.take(share, self.world.now_ms(), service, floor)
 
-    def missed(self, incarnation: str, mishap: TryMishap) -> None:
-        """A try at a runner ended in a mishap: one that cannot be reached, or answers nothing, is passed over."""
+    def missed(self, incarnation: str, error: AttemptError) -> None:
+        """A try at a runner ended in an error: one that cannot be reached, or answers nothing, is passed over."""
         known = self.roster.known.get(incarnation)
         if known is None:
             return
-        if mishap.step == "connect":
-            self.roster.down(known, mishap.reason)
-        elif self.dialect.kept and mishap.step not in ("permit", "silence", "limit"):
-            self.roster.suspect(known, mishap.reason)
+        if error.step == "connect":
+            self.roster.down(known, error.reason)
+        elif self.dialect.kept and error.step not in ("permit", "silence", "limit"):
+            self.roster.suspect(known, error.reason)
 
     def may_grant(self) -> bool:
         may = self.member.may_grant()
@@ -140,15 +142,15 @@
 
     def runners_of(self, service: str, digest: str) -> tuple[list[str], list[str]] | None:
         """The runners that may serve a service now, and those that own the opening; None without a binding."""
-        creed = self.creed()
+        configuration = self.configuration()
         name = self.bound.get(service)
         if name is None:
-            if service not in creed.services or not creed.services[service].listed:
+            if service not in configuration.services or not configuration.services[service].listed:
                 return None
             listed = self.roster.serving(service)
             return listed, listed
-        binding = creed.bindings[name]
-        for plan_name, plan in creed.plans.items():
+        binding = configuration.bindings[name]
+        for plan_name, plan in configuration.plans.items():
             if name in plan.bindings:
                 held = self.plan_state(plan_name)
                 before, after, share = runners_under(plan, binding.runners, held)
@@ -164,8 +166,8 @@
         """A seat for the call and the time left until its first token is due, or why there is none."""
         if not self.may_grant():
             return Refusal(503, f"this node is {self.member.state.value}")
-        creed, opening, now_ms = self.creed(), call.opening, self.world.now_ms()
-        service = creed.services.get(call.service)
+        configuration, opening, now_ms = self.configuration(), call.opening, self.world.now_ms()
+        service = configuration.services.get(call.service)
         if service is None:
             return Refusal(404, "model: no such service")
         able = self.runners_of(call.service, opening.digest)
@@ -175,7 +177,7 @@
         if not seatable:
             return Refusal(503, "no runner may be sent to now")
         due_ms = (call.due_ms or float(service.due_ms)) - (now_ms - began_ms)
-        choices = Choices(self.crowds.hot(call.service), seatable, able[1], creed.settings.spill_share)
+        choices = Choices(self.crowds.hot(call.service), seatable, able[1], configuration.settings.spill_share)
         drawn = self.draws.draw(opening, choices, due_ms * self.bounds.aim_share, now_ms)
         if drawn is None and self.bounds.late_share > self.bounds.aim_share:
             drawn = self.draws.earliest(opening, choices, now_ms)
@@ -187,7 +189,7 @@
 
     def _seatable(self, name: str, service: Service, able: list[str], tried: set[str]) -> list[Seatable]:
         """The able runners that may be sent to now and were not tried."""
-        up, runners = self.roster.up(), self.creed().runners
+        up, runners = self.roster.up(), self.configuration().runners
         if not service.listed:
             return [
                 Seatable(each, up[each].incarnation, runners[each].slots, runners[each].prefill_tokens_per_s, name)
--- a/src/finchswitch/transit/own.py
+++ b/src/finchswitch/router/own.py
@@ -15,14 +15,14 @@
 from starlette.requests import Request
 
 from finchswitch.constants import ASK_WAIT_MS
-from finchswitch.mishap import Mishap, MishapKind
-from finchswitch.transit.dialect import Call, Fate, Head, Headers, Piece, Refusal, TryMishap
-from finchswitch.transit.prompt import read_prompt
-from finchswitch.transit.proof import Ticket
-from finchswitch.transit.roster import Known
+from finchswitch.errors import ErrorKind, FleetError
+from finchswitch.router.dialect import AttemptError, Call, Fate, Head, Headers, Piece, Refusal
+from finchswitch.router.prompt import read_prompt
+from finchswitch.router.proof import Ticket
+from finchswitch.router.roster import Known
 
 if TYPE_CHECKING:
-    from finchswitch.transit.node import Node
+    from finchswitch.router.node import Node
 
 __all__ = ["OwnDialect", "read_running"]
 
@@ -42,13 +42,13 @@
     def check_head(self, response: httpx.Response, known: Known, call: Call) -> Head:
         shown = (response.headers.get("x-runner"), response.headers.get("x-incarnation"))
         if shown != (known.runner, known.incarnation):
-            raise TryMishap(Fate.UNKNOWN, "answer", known.runner, f"answered as {shown}")
+            raise AttemptError(Fate.UNKNOWN, "answer", known.runner, f"answered as {shown}")
         if response.headers.get("x-request-id") != call.request_id:
-            raise TryMishap(Fate.UNKNOWN, "answer", known.runner, "answered another request")
+            raise AttemptError(Fate.UNKNOWN, "answer", known.runner, "answered another request")
         if response.status_code != 200:
             refused = response.headers.get("x-outcome") == Fate.NOT_RUN.value
             fate = Fate.NOT_RUN if refused else Fate.UNKNOWN
-            raise TryMishap(fate, "answer", known.runner, f"status {response.status_code}")
+            raise AttemptError(fate, "answer", known.runner, f"status {response.status_code}")
         return Head(str(response.headers.get("x-weights", "")))
 
     async def pieces(self, response: httpx.Response, known: Known, call: Call) -> AsyncGenerator[Piece, None]:
@@ -61,7 +61,7 @@
                 number += 1
                 yield _piece(number, content)
         if not held:
-            raise TryMishap(Fate.UNKNOWN, "stream", known.runner, "[DONE] without a finish")
+            raise AttemptError(Fate.UNKNOWN, "stream", known.runner, "[DONE] without a finish")
         held[-1] = {**held[-1], "outcome": Fate.COMPLETE.value, "request_id": call.request_id}
         for content in held:
             number += 1
@@ -90,9 +90,9 @@
         body = json.dumps({"error": {"message": reason, "outcome": fate.value, "request_id": request_id}})
         return status, _raw(headers), body.encode()
 
-    def broken(self, mishap: TryMishap) -> bytes | None:
-        error = {"message": mishap.reason, "type": mishap.step, "outcome": Fate.UNKNOWN.value}
-        return f"event: error\ndata: {json.dumps({'error': error})}\n\n".encode()
+    def broken(self, error: AttemptError) -> bytes | None:
+        told = {"message": error.reason, "type": error.step, "outcome": Fate.UNKNOWN.value}
+        return f"event: error\ndata: {json.dumps({'error': told})}\n\n".encode()
 
     async def probe(self, known: Known) -> float:
         response = await known.reader.get(f"http://{known.address}/metrics", timeout=ASK_WAIT_MS / 1000)
@@ -112,18 +112,18 @@
                 return
             if event.id.isdigit():
                 if not _follows(int(event.id), number):
-                    raise TryMishap(Fate.UNKNOWN, "stream", known.runner, f"piece {event.id} after {number}")
+                    raise AttemptError(Fate.UNKNOWN, "stream", known.runner, f"piece {event.id} after {number}")
                 number = int(event.id)
             try:
                 content = json.loads(event.data)
             except ValueError:
-                raise TryMishap(Fate.UNKNOWN, "stream", known.runner, "a piece is not JSON") from None
+                raise AttemptError(Fate.UNKNOWN, "stream", known.runner, "a piece is not JSON") from None
             if not isinstance(content, dict) or not isinstance(content.get("choices"), list):
-                raise TryMishap(Fate.UNKNOWN, "stream", known.runner, "a piece without choices")
+                raise AttemptError(Fate.UNKNOWN, "stream", known.runner, "a piece without choices")
             yield content
     except SSEError as error:
-        raise TryMishap(Fate.UNKNOWN, "stream", known.runner, str(error)) from None
-    raise TryMishap(Fate.UNKNOWN, "stream", known.runner, "ended before [DONE]")
+        raise AttemptError(Fate.UNKNOWN, "stream", known.runner, str(error)) from None
+    raise AttemptError(Fate.UNKNOWN, "stream", known.runner, "ended before [DONE]")
 
 
 def _follows(number: int, before: int | None) -> bool:
@@ -151,5 +151,5 @@
             if family.name == "vllm:num_requests_running":
                 return sum(float(sample.value) for sample in family.samples)
     except ValueError as wrong:
-        raise Mishap(MishapKind.BROKEN, "vitals", peer, str(wrong)) from None
-    raise Mishap(MishapKind.BROKEN, "vitals", peer, "no vllm:num_requests_running")
+        raise FleetError(ErrorKind.BROKEN, "vitals", peer, str(wrong)) from None
+    raise FleetError(ErrorKind.BROKEN, "vitals", peer, "no vllm:num_requests_running")
--- a/src/finchswitch/transit/plans.py
+++ b/src/finchswitch/router/plans.py
@@ -9,10 +9,10 @@
 from enum import Enum
 from typing import Any
 
-from finchswitch.charts import Walker, load_chart
+from finchswitch.configuration import Plan
+from finchswitch.configuration.model import PlanStep
 from finchswitch.constants import PLAN_STEP_SHARE
-from finchswitch.creed import Plan
-from finchswitch.creed.model import PlanStep
+from finchswitch.state_machines import StateMachine, load_transitions
 
 __all__ = ["PlanPhase", "PlanSight", "advance", "runners_under"]
 
@@ -35,7 +35,7 @@
     RESUME = "resume"
 
 
-_CHART = load_chart("plan", PlanPhase, PlanEvent)
+_TRANSITIONS = load_transitions("plan", PlanPhase, PlanEvent)
 
 
 @dataclass(frozen=True)
@@ -58,29 +58,29 @@
     >>> advance(plan, {"phase": "draining", "share": 1.0}, PlanSight(True, 0))
     {'phase': 'done', 'share': 1.0}
     """
-    walker, share = Walker(_CHART), float(held["share"]) if held else 0.0
-    walker.state = PlanPhase(held["phase"]) if held else PlanPhase.WAITING
+    state_machine, share = StateMachine(_TRANSITIONS), float(held["share"]) if held else 0.0
+    state_machine.state = PlanPhase(held["phase"]) if held else PlanPhase.WAITING
     if plan.step is PlanStep.PAUSED:
-        return {"phase": walker.state.value, "share": share}
+        return {"phase": state_machine.state.value, "share": share}
     if plan.step is PlanStep.ABANDONED:
-        if walker.can(PlanEvent.ABANDON):
-            walker.take(PlanEvent.ABANDON)
-        elif walker.state is PlanPhase.RETURNING:
+        if state_machine.can(PlanEvent.ABANDON):
+            state_machine.take(PlanEvent.ABANDON)
+        elif state_machine.state is PlanPhase.RETURNING:
             share = max(0.0, share - PLAN_STEP_SHARE)
-        if walker.state is PlanPhase.RETURNING and share == 0.0:
-            walker.take(PlanEvent.WENT_BACK)
-        return {"phase": walker.state.value, "share": share}
-    if walker.can(PlanEvent.RESUME):
-        walker.take(PlanEvent.RESUME)
-    elif walker.state is PlanPhase.WAITING and sight.arrived:
-        walker.take(PlanEvent.ARRIVED)
-    elif walker.state is PlanPhase.SHIFTING and sight.arrived:
+        if state_machine.state is PlanPhase.RETURNING and share == 0.0:
+            state_machine.take(PlanEvent.WENT_BACK)
+        return {"phase": state_machine.state.value, "share": share}
+    if state_machine.can(PlanEvent.RESUME):
+        state_machine.take(PlanEvent.RESUME)
+    elif state_machine.state is PlanPhase.WAITING and sight.arrived:
+        state_machine.take(PlanEvent.ARRIVED)
+    elif state_machine.state is PlanPhase.SHIFTING and sight.arrived:
         share = min(1.0, share + PLAN_STEP_SHARE)
         if share == 1.0:
-            walker.take(PlanEvent.SHIFTED)
-    elif walker.state is PlanPhase.DRAINING and sight.leaving_seats == 0:
-        walker.take(PlanEvent.DRAINED)
-    return {"phase": walker.state.value, "share": share}
+            state_machine.take(PlanEvent.SHIFTED)
+    elif state_machine.state is PlanPhase.DRAINING and sight.leaving_seats == 0:
+        state_machine.take(PlanEvent.DRAINED)
+    return {"phase": state_machine.state.value, "share": share}
 
 
 def runners_under(plan: Plan, bound: list[str], held: dict[str, Any] | None) -> tuple[list[str], list[str], float]:
--- a/src/finchswitch/transit/platform.py
+++ b/src/finchswitch/router/platform.py
@@ -10,7 +10,7 @@
 
 import httpx
 
-from finchswitch.mishap import Mishap, MishapKind
+from finchswitch.errors import ErrorKind, FleetError
 
 __all__ = ["Listed", "Lister", "SliceLister", "read_list"]
 
@@ -29,7 +29,7 @@
 
 class Lister(Protocol):
     async def read(self, wait_ms: float) -> list[Listed]:
-        """Read the list once; raises a Mishap."""
+        """Read the list once; raises a FleetError."""
 
 
 def read_list(raw: Any, peer: str) -> list[Listed]:
@@ -53,7 +53,7 @@
                 address = f"{point['addresses'][0]}:{port}"
                 listed.append(Listed(str(target["name"]), str(target["uid"]), address, leaving))
     except (KeyError, IndexError, TypeError, ValueError, AttributeError) as wrong:
-        raise Mishap(MishapKind.BROKEN, "list", peer, f"not an EndpointSliceList: {wrong!r}") from None
+        raise FleetError(ErrorKind.BROKEN, "list", peer, f"not an EndpointSliceList: {wrong!r}") from None
     return listed
 
 
@@ -70,6 +70,6 @@
             response.raise_for_status()
             return read_list(response.json(), self._address)
         except httpx.HTTPError as error:
-            raise Mishap(MishapKind.SILENT, "list", self._address, repr(error)) from None
+            raise FleetError(ErrorKind.SILENT, "list", self._address, repr(error)) from None
         except ValueError as error:
-            raise Mishap(MishapKind.BROKEN, "list", self._address, str(error)) from None
+            raise FleetError(ErrorKind.BROKEN, "list", self._address, str(error)) from None
--- a/src/finchswitch/transit/prompt.py
+++ b/src/finchswitch/router/prompt.py
@@ -12,7 +12,7 @@
 
 from finchswitch.affinity import opening_of
 from finchswitch.constants import BODY_MOST_BYTES, CALLER_STILL_MS, DUE_LEAST_MS, DUE_MOST_MS, REQUEST_ID_MOST
-from finchswitch.transit.dialect import Call, Refusal
+from finchswitch.router.dialect import Call, Refusal
 
 __all__ = ["read_body", "read_prompt"]
 
--- a/src/finchswitch/transit/proof.py
+++ b/src/finchswitch/router/proof.py
@@ -17,7 +17,7 @@
 from anyio.abc import ByteStream
 
 from finchswitch.constants import PROOF_WAIT_MS
-from finchswitch.mishap import Mishap, MishapKind
+from finchswitch.errors import ErrorKind, FleetError
 
 __all__ = ["TICKET", "Permit", "PermitOnly", "RunnerProof", "Ticket"]
 
@@ -54,7 +54,7 @@
     async def __call__(self, stream: ByteStream, address: str) -> None:
         ticket = TICKET.get()
         if ticket is not None and not self._permit.permits(self._incarnation, ticket):
-            raise Mishap(MishapKind.REFUSED, "permit", address, "may not be sent to any more")
+            raise FleetError(ErrorKind.REFUSED, "permit", address, "may not be sent to any more")
 
 
 class RunnerProof:
@@ -66,9 +66,9 @@
             answer = await self._ask(stream, address)
         if answer.get("runner") != self._runner or answer.get("incarnation") != self._incarnation:
             shown = f"{answer.get('runner')}/{answer.get('incarnation')}"
-            raise Mishap(MishapKind.REFUSED, "proof", address, f"{shown} is not {self._runner}/{self._incarnation}")
+            raise FleetError(ErrorKind.REFUSED, "proof", address, f"{shown} is not {self._runner}/{self._incarnation}")
         if not self._permit.permits(self._incarnation, TICKET.get()):
-            raise Mishap(MishapKind.REFUSED, "permit", address, "may not be sent to any more")
+            raise FleetError(ErrorKind.REFUSED, "permit", address, "may not be sent to any more")
 
     async def _ask(self, stream: ByteStream, address: str) -> dict[str, object]:
         connection = h11.Connection(h11.CLIENT)
@@ -92,7 +92,7 @@
             connection.start_next_cycle()
             answer = json.loads(body)
         except (h11.ProtocolError, ValueError) as wrong:
-            raise Mishap(MishapKind.BROKEN, "proof", address, repr(wrong)) from None
+            raise FleetError(ErrorKind.BROKEN, "proof", address, repr(wrong)) from None
         if status != 200 or not isinstance(answer, dict):
-            raise Mishap(MishapKind.REFUSED, "proof", address, f"status {status}")
+            raise FleetError(ErrorKind.REFUSED, "proof", address, f"status {status}")
         return answer
--- a/src/finchswitch/transit/roster.py
+++ b/src/finchswitch/router/roster.py
@@ -15,7 +15,6 @@
 import httpx
 
 from finchswitch.bounds import Bounds
-from finchswitch.charts import Walker, load_chart
 from finchswitch.constants import (
     DOWN_MS,
     FORGET_MS,
@@ -24,11 +23,12 @@
     RUNNER_SILENT_MS,
     SUSPECT_MS,
 )
+from finchswitch.errors import FleetError
 from finchswitch.logs import prefix
-from finchswitch.mishap import Mishap
-from finchswitch.transit.platform import Listed, Lister
-from finchswitch.transit.proof import Permit, PermitOnly, RunnerProof
-from finchswitch.wire import Message, World, reading
+from finchswitch.router.platform import Listed, Lister
+from finchswitch.router.proof import Permit, PermitOnly, RunnerProof
+from finchswitch.state_machines import StateMachine, load_transitions
+from finchswitch.transport import Message, World, reading
 
 __all__ = ["Known", "Roster", "RunnerState"]
 
@@ -47,7 +47,7 @@
     VANISHED = "vanished"
 
 
-_CHART = load_chart("runner", RunnerState, RunnerEvent)
+_TRANSITIONS = load_transitions("runner", RunnerState, RunnerEvent)
 
 
 class Known:
@@ -56,7 +56,7 @@
     def __init__(self, listed: Listed, world: World, permit: Permit, kept: bool) -> None:
         self.listed = listed
         self.runner, self.incarnation, self.address = listed.runner, listed.incarnation, listed.address
-        self.walker = Walker(_CHART, f"{listed.runner}/{listed.incarnation}")
+        self.state_machine = StateMachine(_TRANSITIONS, f"{listed.runner}/{listed.incarnation}")
         self.down_until_ms = 0.0
         self.listed_ms = world.now_ms()
         self.heard_ms = -1e18  # when anything last came of it
@@ -92,8 +92,8 @@
             asked_ms = self._world.now_ms()
             try:
                 listed = await self._lister.read(LIST_WAIT_MS)
-            except Mishap as mishap:
-                _log.warning("The list cannot be read. {}", mishap)
+            except FleetError as error:
+                _log.warning("The list cannot be read. {}", error)
                 await self._world.sleep(self._again_ms(failed))
                 failed += 1
                 continue
@@ -122,7 +122,7 @@
         here = {each.incarnation for each in listed}
         for each in listed:
             known = self.known.get(each.incarnation)
-            if known is not None and known.address != each.address and known.walker.state is RunnerState.LEAVING:
+            if known is not None and known.address != each.address and known.state_machine.state is RunnerState.LEAVING:
                 self._leaving_told.add(each.incarnation)
             if known is None or known.address != each.address:
                 known = self.known[each.incarnation] = Known(each, self._world, self._permit, self._kept)
@@ -135,8 +135,8 @@
                 self._move(known, RunnerEvent.VANISHED)
 
     def _move(self, known: Known, event: RunnerEvent) -> None:
-        before = known.walker.state
-        after = known.walker.take(event)
+        before = known.state_machine.state
+        after = known.state_machine.take(event)
         if after is not before:
             _log.info("Runner {}/{} is {}.", known.runner, known.incarnation, after.value)
 
@@ -168,7 +168,9 @@
                     self._move(self.known[incarnation], RunnerEvent.LEAVES)
 
     def leaving(self) -> list[str]:
-        return sorted(each.incarnation for each in self.known.values() if each.walker.state is RunnerState.LEAVING)
+        return sorted(
+            each.incarnation for each in self.known.values() if each.state_machine.state is RunnerState.LEAVING
+        )
 
     def list_age_ms(self) -> float:
         return min(self._world.now_ms() - self._read_ms, 1e9)
@@ -184,14 +186,14 @@
         if not self.readable():
             return {}
         now_ms = self._world.now_ms()
-        fit = [k for k in self.known.values() if k.walker.state is RunnerState.UP and k.down_until_ms <= now_ms]
+        fit = [k for k in self.known.values() if k.state_machine.state is RunnerState.UP and k.down_until_ms <= now_ms]
         return {each.runner: each for each in fit}
 
     def serving(self, service: str) -> list[str]:
         """Names of the listed runners that the platform says serve it, whether up now or not."""
         listed = (RunnerState.UP, RunnerState.LEAVING)
         return sorted(
-            {k.runner for k in self.known.values() if k.listed.service == service and k.walker.state in listed}
+            {k.runner for k in self.known.values() if k.listed.service == service and k.state_machine.state in listed}
         )
 
     def long_gone(self) -> list[str]:
@@ -202,7 +204,7 @@
     async def forget(self, incarnation: str) -> None:
         """Drop an incarnation and its connections; that it was leaving stays known."""
         known = self.known.pop(incarnation)
-        if known.walker.state is RunnerState.LEAVING:
+        if known.state_machine.state is RunnerState.LEAVING:
             self._leaving_told.add(incarnation)
         await known.transport.aclose()
         await known.reader.aclose()
@@ -210,7 +212,7 @@
     def sendable(self, incarnation: str) -> bool:
         """Whether the incarnation is still listed and not leaving, by a list that is not too old."""
         known = self.known.get(incarnation)
-        return self.readable() and known is not None and known.walker.state is RunnerState.UP
+        return self.readable() and known is not None and known.state_machine.state is RunnerState.UP
 
     def down(self, known: Known, why: str) -> None:
         known.down_until_ms = self._world.now_ms() + DOWN_MS
--- a/src/finchswitch/transit/seat.py
+++ b/src/finchswitch/router/seat.py
@@ -3,8 +3,8 @@
 from enum import Enum
 
 from finchswitch.affinity import Beliefs, Burdens, Drawn
-from finchswitch.charts import Walker, load_chart
-from finchswitch.wire import World
+from finchswitch.state_machines import StateMachine, load_transitions
+from finchswitch.transport import World
 
 __all__ = ["Seat", "SeatState"]
 
@@ -20,20 +20,20 @@
     FREE = "free"
 
 
-_CHART = load_chart("seat", SeatState, SeatEvent)
+_TRANSITIONS = load_transitions("seat", SeatState, SeatEvent)
 
 
 class Seat:
     def __init__(self, world: World, drawn: Drawn, burdens: Burdens, beliefs: Beliefs) -> None:
         self._world, self._drawn, self._burdens, self._beliefs = world, drawn, burdens, beliefs
-        self._walker = Walker(_CHART, drawn.runner.runner)
+        self._state_machine = StateMachine(_TRANSITIONS, drawn.runner.runner)
         self._granted_ms = world.now_ms()
         burdens.take(self, drawn.runner.incarnation, drawn.prefill_tokens, drawn.ms_a_token, self._granted_ms)
         beliefs.granted(drawn.runner.incarnation, drawn.opening)
 
     def begun(self, weights: str) -> None:
         """The first piece came: the runner holds the opening now, under these weights."""
-        self._walker.take(SeatEvent.BEGIN)
+        self._state_machine.take(SeatEvent.BEGIN)
         incarnation, now_ms = self._drawn.runner.incarnation, self._world.now_ms()
         learned = "" if self._drawn.runner.prefill_tokens_per_s else self._drawn.runner.service
         self._burdens.begun(self, incarnation, now_ms, learned)
@@ -45,7 +45,7 @@
     def free(self) -> None:
         incarnation, now_ms = self._drawn.runner.incarnation, self._world.now_ms()
         self._burdens.begun(self, incarnation, now_ms)
-        if self._walker.state is SeatState.GRANTED:
+        if self._state_machine.state is SeatState.GRANTED:
             self._beliefs.settled(incarnation, self._drawn.opening.digest)
-        self._walker.take(SeatEvent.FREE)
+        self._state_machine.take(SeatEvent.FREE)
         self._burdens.free(incarnation, self._drawn.opening.service, now_ms - self._granted_ms)
--- a/src/finchswitch/transit/watch.py
+++ b/src/finchswitch/router/watch.py
@@ -11,11 +11,11 @@
 import anyio
 
 from finchswitch.constants import SILENCE_LEAST_MS, SILENCE_SHARE, WATCH_MS
-from finchswitch.transit.dialect import Call
-from finchswitch.transit.roster import Known
+from finchswitch.router.dialect import Call
+from finchswitch.router.roster import Known
 
 if TYPE_CHECKING:
-    from finchswitch.transit.node import Node
+    from finchswitch.router.node import Node
 
 __all__ = ["Watch", "Watched"]
 
--- a/src/finchswitch/rehearsal/allowance.py
+++ b/src/finchswitch/simulation/allowance.py
@@ -6,7 +6,7 @@
 
 from typing import Any
 
-from finchswitch.rehearsal.history import Change, History
+from finchswitch.simulation.history import Change, History
 
 __all__ = ["allowed_since", "bound_spans"]
 
--- a/src/finchswitch/rehearsal/callers.py
+++ b/src/finchswitch/simulation/callers.py
@@ -13,9 +13,9 @@
 from httpx_sse import EventSource
 
 from finchswitch.constants import CALLER_WAIT_S, LOOK_MS
-from finchswitch.rehearsal.deployments import Traffic
-from finchswitch.rehearsal.history import Call, History, Sight
-from finchswitch.wire import World
+from finchswitch.simulation.deployments import Traffic
+from finchswitch.simulation.history import Call, History, Sight
+from finchswitch.transport import World
 
 __all__ = ["Calling", "Desk", "call_once", "call_openly"]
 
--- a/src/finchswitch/rehearsal/checkers.py
+++ b/src/finchswitch/simulation/checkers.py
@@ -17,8 +17,8 @@
     BRIEF_TRIES_WINDOW_MS,
     CLOCK_SLACK_MS,
 )
-from finchswitch.rehearsal.allowance import allowed_since, bound_spans
-from finchswitch.rehearsal.history import History, Sight
+from finchswitch.simulation.allowance import allowed_since, bound_spans
+from finchswitch.simulation.history import History, Sight
 
 __all__ = ["CHECKERS", "judge"]
 
--- a/src/finchswitch/rehearsal/theatre.py
+++ b/src/finchswitch/simulation/cluster.py
@@ -1,4 +1,4 @@
-"""A theatre: a whole fleet in one process and in virtual time, with hands to break it and a history to judge.
+"""A cluster: a whole fleet in one process and in virtual time, with hands to break it and a history to judge.
 
 The planes are the very ones that the programs run. What is simulated is the machine under them: wire, disk and
 clock. See ``play`` for how a scene is run.
@@ -13,32 +13,32 @@
 import httpx
 from anyio.abc import TaskGroup
 
-from finchswitch.accord.asks import run_council
-from finchswitch.accord.council import Council
-from finchswitch.accord.desk import make_desk
 from finchswitch.constants import WIRE_FORMAT, WIRE_READS
+from finchswitch.control.control_node import ControlNode
+from finchswitch.control.operator_api import make_operator_api
+from finchswitch.control.server import run_control_node
 from finchswitch.programs.startup import Startup
 from finchswitch.programs.transit import stop_node
-from finchswitch.rehearsal.callers import Calling, Desk, call_openly
-from finchswitch.rehearsal.deployments import Deployment
-from finchswitch.rehearsal.disk import SimDisk
-from finchswitch.rehearsal.history import Arrival, Fault, History, ListEvent, RunSeen
-from finchswitch.rehearsal.net import Net
-from finchswitch.rehearsal.operated import Operated
-from finchswitch.rehearsal.platform import StandInPlatform
-from finchswitch.rehearsal.runner import StandInRunner, Traits
-from finchswitch.rehearsal.world import SimWorld
-from finchswitch.transit.asks import run_node
-from finchswitch.transit.doors import make_doors
-from finchswitch.transit.node import Node
-
-__all__ = ["RUNNER_PORT", "Theatre"]
+from finchswitch.router.asks import run_node
+from finchswitch.router.doors import make_doors
+from finchswitch.router.node import Node
+from finchswitch.simulation.callers import Calling, Desk, call_openly
+from finchswitch.simulation.deployments import Deployment
+from finchswitch.simulation.disk import SimDisk
+from finchswitch.simulation.history import Arrival, Fault, History, ListEvent, RunSeen
+from finchswitch.simulation.network import Net
+from finchswitch.simulation.operated import Operated
+from finchswitch.simulation.platform import StandInPlatform
+from finchswitch.simulation.runner import StandInRunner, Traits
+from finchswitch.simulation.world import SimWorld
+
+__all__ = ["RUNNER_PORT", "Cluster"]
 
 RUNNER_PORT = ":9000"
 
 
 @dataclass
-class Actor:
+class Process:
     """A process on a machine of its own."""
 
     name: str
@@ -47,19 +47,19 @@
     district: str
     group: TaskGroup | None = None
     node: Node | None = None
-    council: Council | None = None
+    control: ControlNode | None = None
     stop: anyio.Event | None = None
     closed: anyio.Event | None = None
     formats: tuple[int, int] = (WIRE_FORMAT, WIRE_READS)
 
 
-class Theatre(Operated):
+class Cluster(Operated):
     def __init__(self, deployment: Deployment, seed: int, group: TaskGroup) -> None:
         self.deployment, self._group = deployment, group
         self.chance = Random(seed)
         self.net = Net(Random(self.chance.random()))
         self.history, self.platform = History(), StandInPlatform()
-        self.actors: dict[str, Actor] = {}
+        self.processes: dict[str, Process] = {}
         self.disks: dict[str, SimDisk] = {}
         self.runners: dict[str, StandInRunner] = {}
         self.outside = self._world("10.0.0.1")
@@ -68,10 +68,10 @@
         self._hosts = 0
         cores = [f"accord{at}" for at in range(1, deployment.cores + 1)]
         for name in cores:
-            self.cast(name, "accord", "core", f"10.0.9.{len(self.actors) + 1}")
+            self.cast(name, "accord", "core", f"10.0.9.{len(self.processes) + 1}")
         for at, district in enumerate(deployment.districts, 1):
             self.cast(f"transit{at}", "transit", district, f"10.0.1.{at}")
-        self._seeds = [f"{actor.host}:7100" for actor in self.of_kind(deployment.seeds)[:3]]
+        self._seeds = [f"{process.host}:7100" for process in self.of_kind(deployment.seeds)[:3]]
         doors = {a.name: (f"{a.host}:8000", a.district) for a in self.of_kind("transit")}
         self.desk = Desk(self.outside, doors, sights=self.history.sights)
 
@@ -79,10 +79,10 @@
         return SimWorld(self.net, self.net.machine(host), self.chance.getrandbits(32))
 
     def cast(self, name: str, kind: str, district: str, host: str) -> None:
-        self.actors[name] = Actor(name, host, kind, district)
+        self.processes[name] = Process(name, host, kind, district)
 
-    def of_kind(self, kind: str) -> list[Actor]:
-        return [actor for actor in self.actors.values() if actor.kind == kind]
+    def of_kind(self, kind: str) -> list[Process]:
+        return [process for process in self.processes.values() if process.kind == kind]
 
     # Hands: starting and breaking.
 
@@ -90,8 +90,8 @@
         self._group.start_soon(self._serve_platform)
         for name in [*self.deployment.runner_names(), *self.deployment.spare]:
             self.start_runner(name, f"{name}-i1")
-        for actor in [*self.of_kind("accord"), *self.of_kind("transit")]:
-            self.start(actor.name)
+        for process in [*self.of_kind("accord"), *self.of_kind("transit")]:
+            self.start(process.name)
         self._group.start_soon(self.desk.look)
 
     async def _serve_platform(self) -> None:
@@ -102,48 +102,48 @@
         host = host or f"10.0.2.{self._hosts}"
         runner = StandInRunner(self._world(host), name, incarnation, Traits(slots=self.deployment.slots))
         self.runners[incarnation] = runner
-        actor = self.actors[incarnation] = Actor(incarnation, host, "runner", "")
-        self._group.start_soon(self._run, actor, self._run_runner)
+        process = self.processes[incarnation] = Process(incarnation, host, "runner", "")
+        self._group.start_soon(self._run, process, self._run_runner)
         self.platform.list_runner(name, incarnation, f"{host}{RUNNER_PORT}")
         self.history.listed.append(ListEvent(incarnation, "listed", anyio.current_time() * 1000))
 
     def start(self, name: str) -> None:
-        actor = self.actors[name]
-        self.net.lighten(actor.host)
-        self.net.machine(actor.host).thaw()
-        run = self._run_accord if actor.kind == "accord" else self._run_transit
-        self._group.start_soon(self._run, actor, run)
+        process = self.processes[name]
+        self.net.lighten(process.host)
+        self.net.machine(process.host).thaw()
+        run = self._run_accord if process.kind == "accord" else self._run_transit
+        self._group.start_soon(self._run, process, run)
 
-    async def _run(self, actor: Actor, run: Callable[[Actor, TaskGroup], Awaitable[None]]) -> None:
+    async def _run(self, process: Process, run: Callable[[Process, TaskGroup], Awaitable[None]]) -> None:
         async with anyio.create_task_group() as group:
-            actor.group = group
-            await run(actor, group)
-
-    async def _run_runner(self, actor: Actor, group: TaskGroup) -> None:
-        runner = self.runners[actor.name]
-        await runner.world.serve_http(runner.app(), f"{actor.host}{RUNNER_PORT}", anyio.Event())
-
-    def _startup(self, actor: Actor) -> Startup:
-        place = (f"{actor.host}:7100", f"{actor.host}:8000", actor.district)
-        return Startup(actor.name, *place, self._seeds, platform="10.0.0.2:8001", data="memory")
-
-    async def _run_accord(self, actor: Actor, group: TaskGroup) -> None:
-        world = self._world(actor.host)
-        world.formats = actor.formats
-        disk = self.disks.setdefault(actor.name, SimDisk(self.net.machine(actor.host)))
-        actor.council = Council(world, disk, self._startup(actor), group)
-        actor.stop = anyio.Event()
-        group.start_soon(world.serve_http, make_desk(actor.council), f"{actor.host}:8000", actor.stop)
-        await run_council(actor.council)
-
-    async def _run_transit(self, actor: Actor, group: TaskGroup) -> None:
-        world = self._world(actor.host)
-        world.formats = actor.formats
-        node = actor.node = Node(world, self._startup(actor), group)
-        stop, closed = actor.stop, actor.closed = anyio.Event(), anyio.Event()
+            process.group = group
+            await run(process, group)
+
+    async def _run_runner(self, process: Process, group: TaskGroup) -> None:
+        runner = self.runners[process.name]
+        await runner.world.serve_http(runner.app(), f"{process.host}{RUNNER_PORT}", anyio.Event())
+
+    def _startup(self, process: Process) -> Startup:
+        place = (f"{process.host}:7100", f"{process.host}:8000", process.district)
+        return Startup(process.name, *place, self._seeds, platform="10.0.0.2:8001", data="memory")
+
+    async def _run_accord(self, process: Process, group: TaskGroup) -> None:
+        world = self._world(process.host)
+        world.formats = process.formats
+        disk = self.disks.setdefault(process.name, SimDisk(self.net.machine(process.host)))
+        process.control = ControlNode(world, disk, self._startup(process), group)
+        process.stop = anyio.Event()
+        group.start_soon(world.serve_http, make_operator_api(process.control), f"{process.host}:8000", process.stop)
+        await run_control_node(process.control)
+
+    async def _run_transit(self, process: Process, group: TaskGroup) -> None:
+        world = self._world(process.host)
+        world.formats = process.formats
+        node = process.node = Node(world, self._startup(process), group)
+        stop, closed = process.stop, process.closed = anyio.Event(), anyio.Event()
 
         async def serve() -> None:
-            await world.serve_http(make_doors(node), f"{actor.host}:8000", stop)
+            await world.serve_http(make_doors(node), f"{process.host}:8000", stop)
             closed.set()
 
         group.start_soon(serve)
@@ -151,31 +151,31 @@
 
     def kill(self, name: str, power: bool = False) -> None:
         """kill -9, or the power gone: then peers see nothing, and the disk loses what was not synced."""
-        actor = self.actors[name]
+        process = self.processes[name]
         self.history.faults.append(Fault(name, self.now_ms(), self.now_ms()))
         if power:
-            self.net.darken(actor.host)
+            self.net.darken(process.host)
             if name in self.disks:
                 self.disks[name].lose_power(self.chance.random() < 0.3)
-        self.net.machine(actor.host).cut_connections(silent=power)
-        if actor.group is not None:
-            actor.group.cancel_scope.cancel()
-            actor.group = None
+        self.net.machine(process.host).cut_connections(silent=power)
+        if process.group is not None:
+            process.group.cancel_scope.cancel()
+            process.group = None
 
     async def stop_softly(self, name: str) -> None:
-        actor = self.actors[name]
-        assert actor.node and actor.stop and actor.closed and actor.group
-        await stop_node(actor.node, actor.stop, actor.closed)
-        self.net.machine(actor.host).cut_connections(silent=False)
-        actor.group.cancel_scope.cancel()
-        actor.group = None
+        process = self.processes[name]
+        assert process.node and process.stop and process.closed and process.group
+        await stop_node(process.node, process.stop, process.closed)
+        self.net.machine(process.host).cut_connections(silent=False)
+        process.group.cancel_scope.cancel()
+        process.group = None
 
     def leave(self, incarnation: str) -> None:
         self.platform.start_leaving(incarnation)
         self.history.listed.append(ListEvent(incarnation, "leaving", anyio.current_time() * 1000))
 
     def machine(self, name: str) -> Any:
-        return self.net.machine(self.actors[name].host)
+        return self.net.machine(self.processes[name].host)
 
     def failing(self, name: str) -> None:
         """From now on what it cuts is excused, until it is mended."""
@@ -192,9 +192,9 @@
 
     def isolate(self, name: str, others: list[str], both: bool = True) -> None:
         for other in others:
-            self.net.cut(self.actors[name].host, self.actors[other].host)
+            self.net.cut(self.processes[name].host, self.processes[other].host)
             if both:
-                self.net.cut(self.actors[other].host, self.actors[name].host)
+                self.net.cut(self.processes[other].host, self.processes[name].host)
 
     # What callers do.
 
@@ -215,7 +215,7 @@
         """Wait until every transit that runs is ready."""
         until_ms = self.now_ms() + most_ms
         while self.now_ms() < until_ms:
-            running = [actor.name for actor in self.of_kind("transit") if actor.group is not None]
+            running = [process.name for process in self.of_kind("transit") if process.group is not None]
             if running and all(self.desk.ready.get(name) for name in running):
                 return True
             await self.outside.sleep(50)
--- a/src/finchswitch/rehearsal/deployments.py
+++ b/src/finchswitch/simulation/deployments.py
@@ -46,7 +46,7 @@
     def runner_names(self) -> list[str]:
         return [f"{self.name}-r{at}" for at in range(1, self.runners + 1)]
 
-    def creed(self) -> dict[str, Any]:
+    def configuration(self) -> dict[str, Any]:
         names = self.runner_names()
         return {
             "services": {each.service: {"dueMs": each.due_ms} for each in self.traffic},
--- a/src/finchswitch/rehearsal/disk.py
+++ b/src/finchswitch/simulation/disk.py
@@ -7,7 +7,7 @@
 import errno
 from copy import deepcopy
 
-from finchswitch.rehearsal.machine import Machine
+from finchswitch.simulation.machine import Machine
 
 __all__ = ["SimDisk"]
 
--- a/src/finchswitch/rehearsal/hollow.py
+++ b/src/finchswitch/simulation/hollow.py
@@ -16,21 +16,21 @@
 from anyio.abc import ByteStream, TaskGroup
 from trio.testing import MockClock
 
-from finchswitch.accord.asks import run_council
-from finchswitch.accord.change import take_change
-from finchswitch.accord.council import Council
 from finchswitch.bounds import Bounds
-from finchswitch.constants import CREED_PART
-from finchswitch.kinship.member import Member
+from finchswitch.constants import CONFIGURATION_PART
+from finchswitch.control.changes import take_change
+from finchswitch.control.control_node import ControlNode
+from finchswitch.control.server import run_control_node
+from finchswitch.distribution import NewsBook
+from finchswitch.distribution.follow import Follower
 from finchswitch.logs import prefix
+from finchswitch.membership.member import Member
 from finchswitch.programs.startup import Startup
-from finchswitch.rehearsal.disk import SimDisk
-from finchswitch.rehearsal.machine import Machine
-from finchswitch.rehearsal.net import Net, SimStream
-from finchswitch.rehearsal.world import SimWorld
-from finchswitch.relay import NewsBook
-from finchswitch.relay.follow import Follower
-from finchswitch.wire import GONE, Asked, Book, Message, serve_asks, settle
+from finchswitch.simulation.disk import SimDisk
+from finchswitch.simulation.machine import Machine
+from finchswitch.simulation.network import Net, SimStream
+from finchswitch.simulation.world import SimWorld
+from finchswitch.transport import GONE, Asked, Book, Message, serve_asks, settle
 
 __all__ = ["HollowRun", "run_hollow"]
 
@@ -131,8 +131,8 @@
         for at in range(run.controls):
             host = f"10.0.9.{at + 1}"
             disk = SimDisk(net.machine(host))
-            councils.append(Council(world(host), disk, startup(f"accord-{at}", host, at % run.zones), group))
-            group.start_soon(run_council, councils[-1])
+            councils.append(ControlNode(world(host), disk, startup(f"accord-{at}", host, at % run.zones), group))
+            group.start_soon(run_control_node, councils[-1])
         for at in range(run.nodes):
             host = f"10.1.{at // 250}.{at % 250}"
             nodes.append(_HollowNode(world(host), startup(f"transit-{at:03d}", host, at % run.zones), group))
@@ -166,22 +166,22 @@
     return shown
 
 
-async def _deliver(council: Council, nodes: list[_HollowNode], at: int) -> float:
+async def _deliver(control: ControlNode, nodes: list[_HollowNode], at: int) -> float:
     """How long after it was sent a change is held by every node."""
-    began_ms, generation = council.world.now_ms(), council.news.generation(CREED_PART)
+    began_ms, generation = control.world.now_ms(), control.news.generation(CONFIGURATION_PART)
     services = {f"model-{number}": {"listed": True} for number in range(at + 1)}
     change = {"changeId": f"hollow-{at}", "base": generation, "configuration": {"services": services}}
     answered: list[Message] = []
 
     async def send() -> None:
-        answered.append(await take_change(council, change))
+        answered.append(await take_change(control, change))
 
     async with anyio.create_task_group() as group:
         group.start_soon(send)
         with anyio.fail_after(20):
-            while any(node.news.generation(CREED_PART) <= generation for node in nodes):
-                await council.world.sleep(_LOOK_MS)
-        in_force_ms = council.world.now_ms() - began_ms
+            while any(node.news.generation(CONFIGURATION_PART) <= generation for node in nodes):
+                await control.world.sleep(_LOOK_MS)
+        in_force_ms = control.world.now_ms() - began_ms
     return round(in_force_ms, 1)
 
 
--- a/src/finchswitch/rehearsal/machine.py
+++ b/src/finchswitch/simulation/machine.py
@@ -5,7 +5,7 @@
 import anyio
 
 if TYPE_CHECKING:
-    from finchswitch.rehearsal.net import SimListener, SimStream
+    from finchswitch.simulation.network import SimListener, SimStream
 
 __all__ = ["Machine"]
 
--- a/src/finchswitch/rehearsal/measure.py
+++ b/src/finchswitch/simulation/measure.py
@@ -1,4 +1,4 @@
-"""Measuring the design in the theatre: the same seed, deployment and condition under one draw or another."""
+"""Measuring the design in the cluster: the same seed, deployment and condition under one draw or another."""
 
 from collections import Counter
 from dataclasses import dataclass, replace
@@ -7,13 +7,13 @@
 import anyio
 
 from finchswitch.affinity import Beliefs, Draws
-from finchswitch.rehearsal.checkers import judge
-from finchswitch.rehearsal.deployments import DEPLOYMENTS, Deployment
-from finchswitch.rehearsal.history import History, RunSeen
-from finchswitch.rehearsal.play import play
-from finchswitch.rehearsal.report import make_report
-from finchswitch.rehearsal.rivals import RIVALS
-from finchswitch.rehearsal.theatre import Theatre
+from finchswitch.simulation.checkers import judge
+from finchswitch.simulation.cluster import Cluster
+from finchswitch.simulation.deployments import DEPLOYMENTS, Deployment
+from finchswitch.simulation.history import History, RunSeen
+from finchswitch.simulation.play import play
+from finchswitch.simulation.report import make_report
+from finchswitch.simulation.rivals import RIVALS
 
 __all__ = ["CONDITIONS", "Trial", "measure"]
 
@@ -37,8 +37,8 @@
 def measure(trial: Trial) -> dict[str, Any]:
     """One trial's figures."""
 
-    async def scene(theatre: Theatre) -> None:
-        await _conduct(theatre, trial)
+    async def scene(cluster: Cluster) -> None:
+        await _conduct(cluster, trial)
 
     history = play(scene, _deployment(trial), trial.seed)
     return {**vars(trial), **_figures(history, trial), "breaches": sorted(judge(history))}
@@ -52,35 +52,35 @@
     return deployment
 
 
-async def _conduct(theatre: Theatre, trial: Trial) -> None:
-    creed = theatre.deployment.creed()
+async def _conduct(cluster: Cluster, trial: Trial) -> None:
+    configuration = cluster.deployment.configuration()
     if trial.cache_tokens is not None:
-        for runner in theatre.runners.values():
+        for runner in cluster.runners.values():
             runner.traits.cache_tokens = trial.cache_tokens
-    for service in creed["services"].values():
+    for service in configuration["services"].values():
         service.update({} if trial.hot_most is None else {"hotMost": trial.hot_most})
-    creed["settings"].update({} if trial.spill_share is None else {"spillShare": trial.spill_share})
-    for actor in theatre.of_kind("transit"):
-        node = actor.node
+    configuration["settings"].update({} if trial.spill_share is None else {"spillShare": trial.spill_share})
+    for process in cluster.of_kind("transit"):
+        node = process.node
         while node is None:
-            await theatre.outside.sleep(10)
-            node = actor.node
+            await cluster.outside.sleep(10)
+            node = process.node
         if trial.belief_ms is not None:
             node.beliefs = Beliefs(trial.belief_ms)
         node.draws = _draws(trial.draw, node.beliefs, node.burdens, node.world.chance)
-    await theatre.insist({"configuration": creed})
-    await theatre.settle()
+    await cluster.insist({"configuration": configuration})
+    await cluster.settle()
     async with anyio.create_task_group() as group:
-        group.start_soon(theatre.call, 1000 * trial.seconds, 1.0)
-        await theatre.outside.sleep(1000 * trial.seconds / 4)
-        first = theatre.deployment.runner_names()[0]
+        group.start_soon(cluster.call, 1000 * trial.seconds, 1.0)
+        await cluster.outside.sleep(1000 * trial.seconds / 4)
+        first = cluster.deployment.runner_names()[0]
         if trial.condition == "lost":
-            theatre.kill(f"{first}-i1")
-            theatre.platform.remove(f"{first}-i1")
+            cluster.kill(f"{first}-i1")
+            cluster.platform.remove(f"{first}-i1")
         elif trial.condition == "plan":
-            bindings = [each.service for each in theatre.deployment.traffic]
-            value = {"leaving": [first], "arriving": theatre.deployment.spare, "bindings": bindings}
-            await theatre.insist({"edits": [{"kind": "plans", "name": "move", "value": value}]})
+            bindings = [each.service for each in cluster.deployment.traffic]
+            value = {"leaving": [first], "arriving": cluster.deployment.spare, "bindings": bindings}
+            await cluster.insist({"edits": [{"kind": "plans", "name": "move", "value": value}]})
 
 
 def _draws(name: str, *parts: Any) -> Draws:
--- a/src/finchswitch/rehearsal/net.py
+++ b/src/finchswitch/simulation/network.py
@@ -15,8 +15,8 @@
 from anyio.abc import ByteStream
 
 from finchswitch.constants import CALLER_STILL_MS, SIM_AGAIN_MS, SIM_WINDOW_BYTES
-from finchswitch.rehearsal.history import DialSeen
-from finchswitch.rehearsal.machine import Machine
+from finchswitch.simulation.history import DialSeen
+from finchswitch.simulation.machine import Machine
 
 __all__ = ["Net", "SimListener", "SimStream", "host_of"]
 
--- a/src/finchswitch/rehearsal/operated.py
+++ b/src/finchswitch/simulation/operated.py
@@ -5,19 +5,19 @@
 
 import httpx
 
-from finchswitch.rehearsal.history import Change, History
-from finchswitch.rehearsal.world import SimWorld
+from finchswitch.simulation.history import Change, History
+from finchswitch.simulation.world import SimWorld
 
 __all__ = ["Operated"]
 
 
 class Operated:
-    """What a theatre's operators need of it, and what they do."""
+    """What a cluster's operators need of it, and what they do."""
 
     history: History
     chance: Random
     outside: SimWorld
-    actors: dict[str, Any]
+    processes: dict[str, Any]
     changes: int
 
     def now_ms(self) -> float:
@@ -31,7 +31,7 @@
         self.changes += 1
         change = Change(fixed.get("change_id", f"c{self.changes}"), base, self.now_ms(), mark=mark, content=content)
         self.history.changes.append(change)
-        host = self.actors[at or self.chance.choice(self.of_kind("accord")).name].host
+        host = self.processes[at or self.chance.choice(self.of_kind("accord")).name].host
         body = {"changeId": change.change_id, "base": base, "again": fixed.get("again", False), **content}
         try:
             async with httpx.AsyncClient(transport=self.outside.http_transport(), timeout=8) as client:
--- a/src/finchswitch/rehearsal/play.py
+++ b/src/finchswitch/simulation/play.py
@@ -1,4 +1,4 @@
-"""Playing a scene: one theatre, virtual time, a fixed order of tasks. The same seed gives the same history."""
+"""Playing a scene: one cluster, virtual time, a fixed order of tasks. The same seed gives the same history."""
 
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
@@ -7,9 +7,9 @@
 import trio
 from trio.testing import MockClock
 
-from finchswitch.rehearsal.deployments import Deployment
-from finchswitch.rehearsal.history import History
-from finchswitch.rehearsal.theatre import Theatre
+from finchswitch.simulation.cluster import Cluster
+from finchswitch.simulation.deployments import Deployment
+from finchswitch.simulation.history import History
 
 __all__ = ["in_virtual_time", "play"]
 
@@ -23,15 +23,15 @@
     return anyio.run(run, backend="trio", backend_options={"clock": MockClock(autojump_threshold=0)})
 
 
-def play(scene: Callable[[Theatre], Awaitable[None]], deployment: Deployment, seed: int) -> History:
+def play(scene: Callable[[Cluster], Awaitable[None]], deployment: Deployment, seed: int) -> History:
     """Run a scene in virtual time."""
 
     async def run() -> History:
         async with anyio.create_task_group() as group:
-            theatre = Theatre(deployment, seed, group)
-            theatre.start_all()
-            await scene(theatre)
-            history = theatre.close()
+            cluster = Cluster(deployment, seed, group)
+            cluster.start_all()
+            await scene(cluster)
+            history = cluster.close()
             group.cancel_scope.cancel()
         return history
 
--- a/src/finchswitch/rehearsal/replay.py
+++ b/src/finchswitch/simulation/replay.py
@@ -17,7 +17,7 @@
 from returns.result import Failure, Result, Success
 
 from finchswitch.constants import REPLAY_WAIT_S
-from finchswitch.wire import World
+from finchswitch.transport import World
 
 __all__ = ["Recording", "read_recording", "replay"]
 
