--- a/src/finchswitch/rehearsal/report.py
+++ b/src/finchswitch/simulation/report.py
@@ -4,7 +4,7 @@
 from statistics import quantiles
 from typing import Any
 
-from finchswitch.rehearsal.history import Call, History
+from finchswitch.simulation.history import Call, History
 
 __all__ = ["make_report", "print_report"]
 
--- a/src/finchswitch/rehearsal/runner.py
+++ b/src/finchswitch/simulation/runner.py
@@ -16,7 +16,7 @@
 from starlette.routing import Route
 
 from finchswitch.affinity import opening_of
-from finchswitch.wire import World
+from finchswitch.transport import World
 
 __all__ = ["StandInRunner", "Traits"]
 
--- a/src/finchswitch/rehearsal/slopes_control.py
+++ b/src/finchswitch/simulation/slopes_control.py
@@ -1,4 +1,4 @@
-"""Slopes of a control node: session beats, beats to its kin, a change from its reading to its news, a commit's write.
+"""Slopes of a control node: session beats, beats to its peers, a change from its reading to its news, a commit's write.
 
 A configuration here has 24 listed services and so many routes, each with all its fields and its entry as an operator
 sent it. One edit changes one route.
@@ -11,27 +11,27 @@
 from types import SimpleNamespace
 from typing import Any, cast
 
-from finchswitch.accord.asks import answer_session
-from finchswitch.accord.council import Council
-from finchswitch.accord.document import digest_of, founding_document, shrink, succeed
-from finchswitch.constants import CREED_PART
-from finchswitch.creed import apply_edits, edits_between, read_creed
-from finchswitch.creed.routes import RouteTable
-from finchswitch.rehearsal.disk import SimDisk
-from finchswitch.rehearsal.machine import Machine
-from finchswitch.rehearsal.slopes import Quantities, Subject, timed_us
-from finchswitch.rehearsal.slopes_things import member_rows, startup_of
-from finchswitch.relay import NewsBook
-from finchswitch.shelf import RealDisk, Shelf
-from finchswitch.wire import Asked, Message
-from finchswitch.wire.netstring import pack
-from finchswitch.wire.real import RealWorld
+from finchswitch.configuration import apply_edits, edits_between, read_configuration
+from finchswitch.configuration.routes import RouteTable
+from finchswitch.constants import CONFIGURATION_PART
+from finchswitch.control.control_node import ControlNode
+from finchswitch.control.document import digest_of, founding_document, shrink, succeed
+from finchswitch.control.server import answer_session
+from finchswitch.distribution import NewsBook
+from finchswitch.simulation.disk import SimDisk
+from finchswitch.simulation.machine import Machine
+from finchswitch.simulation.slopes import Quantities, Subject, timed_us
+from finchswitch.simulation.slopes_things import member_rows, startup_of
+from finchswitch.storage import RealDisk, VersionedFile
+from finchswitch.transport import Asked, Message
+from finchswitch.transport.netstring import pack
+from finchswitch.transport.real import RealWorld
 
 __all__ = ["configuration_of", "control_subjects", "route_edit"]
 
 _CONTROLS = 9
 _SERVICES = 24
-_GENERATIONS = {CREED_PART: 1700, **{f"part-{at}": 12_345 for at in range(4)}}
+_GENERATIONS = {CONFIGURATION_PART: 1700, **{f"part-{at}": 12_345 for at in range(4)}}
 
 
 def configuration_of(routes: int) -> Message:
@@ -56,34 +56,34 @@
     return [{"kind": "routes", "name": f"tenant-{at:05d}", "value": _route(at, 45_000)}]
 
 
-def _council(name: str) -> Council:
+def _council(name: str) -> ControlNode:
     group = cast(Any, SimpleNamespace(start_soon=lambda *_: None))
-    return Council(RealWorld(1), SimDisk(Machine(name, 0.0)), startup_of(name), group)
+    return ControlNode(RealWorld(1), SimDisk(Machine(name, 0.0)), startup_of(name), group)
 
 
 def _record(row: Message) -> Message:
     return {**row, "incarnation": "0123456789ab", "generations": _GENERATIONS}
 
 
-def _with_sessions(council: Council, rows: list[Message]) -> None:
+def _with_sessions(control: ControlNode, rows: list[Message]) -> None:
     for row in rows:
-        council.sessions.beat(row["name"], _record(row), f"{row['address']}0", council.world.now_ms())
+        control.sessions.beat(row["name"], _record(row), f"{row['address']}0", control.world.now_ms())
 
 
 async def _session(members: int, effort_ms: float) -> Quantities:
     """One session's beat, at a control node that holds a ninth of the sessions and is told the others."""
-    council, rows = _council("accord-1"), member_rows(members)
-    _with_sessions(council, rows[::_CONTROLS])
+    control, rows = _council("accord-1"), member_rows(members)
+    _with_sessions(control, rows[::_CONTROLS])
     for other in range(1, _CONTROLS):
         told = [{**_record(row), "ageMs": 100.0, "state": "standing"} for row in rows[other::_CONTROLS]]
-        council.sessions.told(f"accord-{other + 1}-0123456789ab", told, council.world.now_ms() + 1e9)
+        control.sessions.told(f"accord-{other + 1}-0123456789ab", told, control.world.now_ms() + 1e9)
     body = _record(rows[0])
     ask = pack({"format": 1, "kind": "session.beat", "number": 123456, "body": body})
     asked = Asked("session.beat", body, "10.101.0.0:70000", 1, cast(Any, None))
 
     def exchange() -> bytes:
         json.loads(ask.partition(b":")[2][:-1])
-        return pack({"format": 1, "number": 123456, "body": answer_session(council, asked)})
+        return pack({"format": 1, "number": 123456, "body": answer_session(control, asked)})
 
     answer = exchange()
     return {
@@ -91,21 +91,25 @@
         "answer_bytes": float(len(answer)),
         "control_us": timed_us(exchange, effort_ms),
         "node_us": timed_us(lambda: json.loads(answer.partition(b":")[2][:-1]), effort_ms),
-        "lacking_us": timed_us(lambda: council.sessions.lacking(CREED_PART, 1700, council.world.now_ms()), effort_ms),
+        "lacking_us": timed_us(
+            lambda: control.sessions.lacking(CONFIGURATION_PART, 1700, control.world.now_ms()), effort_ms
+        ),
     }
 
 
 async def _kin(sessions: int, effort_ms: float) -> Quantities:
     """One beat between two control nodes and its answer, both with so many sessions of their own."""
     near, far = _council("accord-1"), _council("accord-2")
-    for at, council in enumerate((near, far)):
-        _with_sessions(council, member_rows(2 * sessions)[at::2])
+    for at, control in enumerate((near, far)):
+        _with_sessions(control, member_rows(2 * sessions)[at::2])
 
     def exchange() -> int:
         ask = pack({"format": 1, "kind": "kin.beat", "number": 123456, "body": near.beat_body()})
-        far.hear_kin(json.loads(ask.partition(b":")[2][:-1])["body"], "10.101.9.1:7100", None)
+        far.hear_control_peer(json.loads(ask.partition(b":")[2][:-1])["body"], "10.101.9.1:7100", None)
         answer = pack({"format": 1, "number": 123456, "body": far.beat_body()})
-        near.hear_kin(json.loads(answer.partition(b":")[2][:-1])["body"], "10.101.9.2:7100", near.world.now_ms())
+        near.hear_control_peer(
+            json.loads(answer.partition(b":")[2][:-1])["body"], "10.101.9.2:7100", near.world.now_ms()
+        )
         return len(ask) + len(answer)
 
     return {"bytes": float(exchange()), "exchange_us": timed_us(exchange, effort_ms)}
@@ -114,43 +118,46 @@
 async def _change(routes: int, effort_ms: float) -> Quantities:
     """One edit of one route: what the owner does with it, and what each node does when it comes down the tree."""
     body, edits = configuration_of(routes), route_edit()
-    creed, edited = read_creed(body).unwrap(), apply_edits(body, edits).unwrap()
+    configuration, edited = read_configuration(body).unwrap(), apply_edits(body, edits).unwrap()
     book = NewsBook()
-    book.take(CREED_PART, 1, body)
+    book.take(CONFIGURATION_PART, 1, body)
     have = book.generations()
-    book.take(CREED_PART, 2, edited)
+    book.take(CONFIGURATION_PART, 2, edited)
     bodies = (body, edited)
 
     def take() -> None:
-        generation = book.generation(CREED_PART) + 1
-        book.take(CREED_PART, generation, bodies[generation % 2])
+        generation = book.generation(CONFIGURATION_PART) + 1
+        book.take(CONFIGURATION_PART, generation, bodies[generation % 2])
 
     told = pack({"news": NewsBook.since(book, have)})
     return {
         "whole_bytes": float(len(pack({"news": book.since({})}))),
         "edit_bytes": float(len(told)),
-        "read_whole_us": timed_us(lambda: read_creed(edited), effort_ms),
-        "read_edit_us": timed_us(lambda: read_creed(edited, (body, creed)), effort_ms),
+        "read_whole_us": timed_us(lambda: read_configuration(edited), effort_ms),
+        "read_edit_us": timed_us(lambda: read_configuration(edited, (body, configuration)), effort_ms),
         "apply_us": timed_us(lambda: apply_edits(body, edits), effort_ms),
         "between_us": timed_us(lambda: edits_between(body, edited), effort_ms),
         "take_us": timed_us(take, effort_ms),
-        "table_us": timed_us(lambda: RouteTable(creed), effort_ms),
+        "table_us": timed_us(lambda: RouteTable(configuration), effort_ms),
         "digest_us": timed_us(lambda: digest_of([1, None, edits]), effort_ms),
     }
 
 
 async def _commit(routes: int, effort_ms: float) -> Quantities:
     """One edit accepted by one store: the whole document is written, whatever the edit; on this machine's own disk."""
-    base = {**founding_document("0123456789abcdef", CREED_PART, ["a", "b", "c"]), "body": configuration_of(routes)}
+    base = {
+        **founding_document("0123456789abcdef", CONFIGURATION_PART, ["a", "b", "c"]),
+        "body": configuration_of(routes),
+    }
     base["recent"] = [[f"change-{at:08d}", "0123456789abcdef", at] for at in range(256)]
     edited = apply_edits(base["body"], route_edit()).unwrap()
     document = succeed(base, edited, ["change-1", "0123456789abcdef", 1], base["group"])
     kept = {"promised": [7, "accord-1-0123456789ab"], "ballot": [7, "accord-1-0123456789ab"], "document": document}
     with tempfile.TemporaryDirectory() as folder:
-        shelf = Shelf(RealDisk(Path(folder)), "creed")
-        put_us = timed_us(lambda: shelf.put(kept), effort_ms)
+        versions = VersionedFile(RealDisk(Path(folder)), "creed")
+        put_us = timed_us(lambda: versions.put(kept), effort_ms)
         began_s = time.monotonic()
-        shelf.put(kept)
+        versions.put(kept)
         wall_us = (time.monotonic() - began_s) * 1e6
         written = max(each.stat().st_size for each in (Path(folder) / "creed").iterdir())
     return {
--- a/src/finchswitch/rehearsal/slopes_memory.py
+++ b/src/finchswitch/simulation/slopes_memory.py
@@ -10,16 +10,16 @@
 from typing import Any
 
 from finchswitch.affinity import Beliefs, Popularity
-from finchswitch.creed import read_creed
-from finchswitch.creed.routes import RouteTable
-from finchswitch.kinship.sessions import Sessions
-from finchswitch.rehearsal.slopes import Quantities, Subject
-from finchswitch.rehearsal.slopes_control import configuration_of
-from finchswitch.rehearsal.slopes_nodes import fill_node
-from finchswitch.rehearsal.slopes_things import make_node, member_rows, opening_of_size, rows_of
-from finchswitch.transit.dialect import Call
-from finchswitch.transit.proof import Ticket
-from finchswitch.transit.sent import Sent
+from finchswitch.configuration import read_configuration
+from finchswitch.configuration.routes import RouteTable
+from finchswitch.membership.sessions import Sessions
+from finchswitch.router.dialect import Call
+from finchswitch.router.proof import Ticket
+from finchswitch.router.sent import Sent
+from finchswitch.simulation.slopes import Quantities, Subject
+from finchswitch.simulation.slopes_control import configuration_of
+from finchswitch.simulation.slopes_nodes import fill_node
+from finchswitch.simulation.slopes_things import make_node, member_rows, opening_of_size, rows_of
 
 __all__ = ["memory_subjects"]
 
@@ -64,8 +64,8 @@
 
 def _routes(count: int) -> Any:
     body = json.loads(json.dumps(configuration_of(count)))
-    creed = read_creed(body).unwrap()
-    return body, creed, RouteTable(creed)
+    configuration = read_configuration(body).unwrap()
+    return body, configuration, RouteTable(configuration)
 
 
 def _members(count: int) -> Any:
--- a/src/finchswitch/rehearsal/slopes_nodes.py
+++ b/src/finchswitch/simulation/slopes_nodes.py
@@ -12,19 +12,19 @@
 
 import anyio
 
-from finchswitch.constants import CREED_PART, TOLD_MOST
-from finchswitch.kinship.word import check_beat
-from finchswitch.rehearsal.slopes import Quantities, Subject, timed_awaited_us, timed_us
-from finchswitch.rehearsal.slopes_things import SERVICE, make_node, member_rows, opening_of_size, rows_of
-from finchswitch.relay import parent_of
-from finchswitch.transit.dialect import Call
-from finchswitch.transit.duties import holder_of
-from finchswitch.transit.node import Node
-from finchswitch.transit.platform import Listed
-from finchswitch.transit.seat import Seat
-from finchswitch.wire import GONE, Book, Message, serve_asks, settle
-from finchswitch.wire.netstring import pack
-from finchswitch.wire.real import RealWorld
+from finchswitch.constants import CONFIGURATION_PART, TOLD_MOST
+from finchswitch.distribution import parent_of
+from finchswitch.membership.word import check_beat
+from finchswitch.router.dialect import Call
+from finchswitch.router.duties import holder_of
+from finchswitch.router.node import Node
+from finchswitch.router.platform import Listed
+from finchswitch.router.seat import Seat
+from finchswitch.simulation.slopes import Quantities, Subject, timed_awaited_us, timed_us
+from finchswitch.simulation.slopes_things import SERVICE, make_node, member_rows, opening_of_size, rows_of
+from finchswitch.transport import GONE, Book, Message, serve_asks, settle
+from finchswitch.transport.netstring import pack
+from finchswitch.transport.real import RealWorld
 
 __all__ = ["fill_node", "node_subjects"]
 
@@ -132,7 +132,7 @@
     listed = [row if at < runners else Listed(**{**vars(row), "service": other}) for at, row in enumerate(rows)]
     node.roster.take(listed)
     node.roster.hear_peer({"leaving": [], "listAgeMs": 0.0, "name": "transit-002"}, node.world.now_ms())
-    node.news.take(CREED_PART, 1, {"services": {SERVICE: {"listed": True}, other: {"listed": True}}})
+    node.news.take(CONFIGURATION_PART, 1, {"services": {SERVICE: {"listed": True}, other: {"listed": True}}})
     call = Call("fs-1", SERVICE, False, opening_of_size(7), b"")
     granted = node.grant(call, set(), node.world.now_ms())
     assert isinstance(granted, tuple), granted
@@ -168,7 +168,7 @@
     node = make_node("transit-001")
     node.roster.take(rows_of(1))
     node.roster.hear_peer({"leaving": [], "listAgeMs": 0.0, "name": "transit-002"}, node.world.now_ms())
-    node.news.take(CREED_PART, 1, {"services": {SERVICE: {"listed": True}}})
+    node.news.take(CONFIGURATION_PART, 1, {"services": {SERVICE: {"listed": True}}})
     call = Call("fs-1", SERVICE, False, opening_of_size(7), b"", due_ms=1e12)
     for at in range(waiting):
         node.burdens.take(at, rows_of(1)[0].incarnation, 100.0, 0.001, node.world.now_ms())
--- a/src/finchswitch/rehearsal/slopes_things.py
+++ b/src/finchswitch/simulation/slopes_things.py
@@ -7,10 +7,10 @@
 from finchswitch.bounds import Bounds
 from finchswitch.constants import TOLD_TOKENS
 from finchswitch.programs.startup import Startup
-from finchswitch.transit.node import Node
-from finchswitch.transit.platform import Listed
-from finchswitch.wire import Message
-from finchswitch.wire.real import RealWorld
+from finchswitch.router.node import Node
+from finchswitch.router.platform import Listed
+from finchswitch.transport import Message
+from finchswitch.transport.real import RealWorld
 
 __all__ = ["SERVICE", "make_node", "member_rows", "opening_of_size", "rows_of", "startup_of"]
 
--- a/src/finchswitch/rehearsal/sweep.py
+++ b/src/finchswitch/simulation/sweep.py
@@ -1,6 +1,6 @@
 """The sweep: scenes over many seeds, each judged by the checkers; a failing seed is named and can be replayed."""
 
-from finchswitch.rehearsal import (  # noqa: F401  they fill SCENES
+from finchswitch.simulation import (  # noqa: F401  they fill SCENES
     scenes_core,
     scenes_liars,
     scenes_load,
@@ -11,12 +11,12 @@
     scenes_runners,
     scenes_versions,
 )
-from finchswitch.rehearsal.checkers import judge
-from finchswitch.rehearsal.deployments import CORE, VILLAGE, Deployment
-from finchswitch.rehearsal.history import History
-from finchswitch.rehearsal.play import play
-from finchswitch.rehearsal.scenes import SCENES
-from finchswitch.rehearsal.storms import STORMS
+from finchswitch.simulation.checkers import judge
+from finchswitch.simulation.deployments import CORE, VILLAGE, Deployment
+from finchswitch.simulation.history import History
+from finchswitch.simulation.play import play
+from finchswitch.simulation.scenes import SCENES
+from finchswitch.simulation.storms import STORMS
 
 __all__ = ["ALL", "faults_of", "perform"]
 
--- a/src/finchswitch/rehearsal/world.py
+++ b/src/finchswitch/simulation/world.py
@@ -19,9 +19,9 @@
 from hypercorn.utils import wrap_app
 
 from finchswitch.constants import ANSWER_LONGEST_MS, CALLER_STILL_MS, WIRE_FORMAT, WIRE_READS
-from finchswitch.rehearsal.machine import Machine
-from finchswitch.rehearsal.net import Net, SimListener, SimStream, host_of
-from finchswitch.wire.client import Proof, make_transport
+from finchswitch.simulation.machine import Machine
+from finchswitch.simulation.network import Net, SimListener, SimStream, host_of
+from finchswitch.transport.client import Proof, make_transport
 
 __all__ = ["SimWorld"]
 
--- a/src/finchswitch/shelf/__init__.py
+++ b/src/finchswitch/storage/__init__.py
@@ -1,9 +1,9 @@
-"""The shelf: files that must last, one file a version, written aside and renamed, under one data folder.
+"""The versions: files that must last, one file a version, written aside and renamed, under one data folder.
 
 ``put`` returns only when the bytes and the name are synced. A file carries a digest of its content, so a torn
 one is told from a whole one; the newest file counts or nothing does, since an older one may have forgotten a
 promise. A file also carries its format's number; a higher one than is read here is left alone. ``Disk`` is the
-few calls that a shelf makes, with a real making here and another in the rehearsal.
+few calls that a versions makes, with a real making here and another in the rehearsal.
 """
 
 import hashlib
@@ -12,10 +12,10 @@
 from pathlib import Path
 from typing import Any, Protocol
 
-from finchswitch.constants import SHELF_FORMAT, SHELF_KEEP, SHELF_READS
-from finchswitch.mishap import Mishap, MishapKind
+from finchswitch.constants import STORAGE_FORMAT, STORAGE_KEEP, STORAGE_READS
+from finchswitch.errors import ErrorKind, FleetError
 
-__all__ = ["Disk", "RealDisk", "Shelf"]
+__all__ = ["Disk", "RealDisk", "VersionedFile"]
 
 
 class Disk(Protocol):
@@ -72,7 +72,7 @@
             os.close(handle)
 
 
-class Shelf:
+class VersionedFile:
     """The versions of one thing."""
 
     def __init__(self, disk: Disk, folder: str) -> None:
@@ -80,8 +80,8 @@
         self._version = max((self._number(each) for each in disk.names(folder)), default=0)
 
     def put(self, content: dict[str, Any]) -> None:
-        """Write the next version; returns when it will last, or raises a Mishap FULL."""
-        body = json.dumps({**content, "format": SHELF_FORMAT}, separators=(",", ":"))
+        """Write the next version; returns when it will last, or raises a FleetError FULL."""
+        body = json.dumps({**content, "format": STORAGE_FORMAT}, separators=(",", ":"))
         digest = hashlib.sha256(body.encode()).hexdigest()
         name = f"{self._version + 1:012d}.json"
         try:
@@ -89,12 +89,12 @@
             self._disk.rename(self._folder, name + ".aside", name)
             self._disk.sync_folder(self._folder)
         except OSError as error:
-            raise Mishap(MishapKind.FULL, "put", f"{self._folder}/{name}", error.strerror or str(error)) from None
+            raise FleetError(ErrorKind.FULL, "put", f"{self._folder}/{name}", error.strerror or str(error)) from None
         self._version += 1
         self._tidy()
 
     def newest(self) -> dict[str, Any] | None:
-        """The newest version, None when there never was one, a Mishap BROKEN when it cannot be trusted."""
+        """The newest version, None when there never was one, a FleetError BROKEN when it cannot be trusted."""
         names = [each for each in self._disk.names(self._folder) if self._number(each)]
         if not names:
             return None
@@ -102,13 +102,13 @@
         try:
             digest, _, body = self._disk.read(self._folder, name).decode().partition("\n")
         except (OSError, UnicodeDecodeError) as error:
-            raise Mishap(MishapKind.BROKEN, "read", f"{self._folder}/{name}", str(error)) from None
+            raise FleetError(ErrorKind.BROKEN, "read", f"{self._folder}/{name}", str(error)) from None
         if hashlib.sha256(body.encode()).hexdigest() != digest:
-            raise Mishap(MishapKind.BROKEN, "read", f"{self._folder}/{name}", "torn: digest differs")
+            raise FleetError(ErrorKind.BROKEN, "read", f"{self._folder}/{name}", "torn: digest differs")
         content: dict[str, Any] = json.loads(body)
-        if content.pop("format", 1) > SHELF_READS:
-            reason = f"of a newer format than {SHELF_READS}, the newest that this version reads; nothing was changed"
-            raise Mishap(MishapKind.NEWER, "read", f"{self._folder}/{name}", reason)
+        if content.pop("format", 1) > STORAGE_READS:
+            reason = f"of a newer format than {STORAGE_READS}, the newest that this version reads; nothing was changed"
+            raise FleetError(ErrorKind.NEWER, "read", f"{self._folder}/{name}", reason)
         return content
 
     def clear(self) -> None:
@@ -120,7 +120,7 @@
 
     def _tidy(self) -> None:
         for name in self._disk.names(self._folder):
-            if self._number(name) and self._number(name) <= self._version - SHELF_KEEP:
+            if self._number(name) and self._number(name) <= self._version - STORAGE_KEEP:
                 self._disk.remove(self._folder, name)
 
     def _number(self, name: str) -> int:
--- a/src/finchswitch/wire/__init__.py
+++ b/src/finchswitch/transport/__init__.py
@@ -1,7 +1,7 @@
 """The wire: netstrings of JSON between the fleet's processes, and the world a process runs in."""
 
-from finchswitch.wire.link import GONE, Asked, Book, field, reading, serve_asks, settle
-from finchswitch.wire.netstring import Message
-from finchswitch.wire.world import Listener, World
+from finchswitch.transport.link import GONE, Asked, Book, field, reading, serve_asks, settle
+from finchswitch.transport.netstring import Message
+from finchswitch.transport.world import Listener, World
 
 __all__ = ["GONE", "Asked", "Book", "Listener", "Message", "World", "field", "reading", "serve_asks", "settle"]
--- a/src/finchswitch/wire/client.py
+++ b/src/finchswitch/transport/client.py
@@ -14,7 +14,7 @@
 from anyio.abc import ByteStream, SocketAttribute
 
 from finchswitch.constants import KEPT_CONNECTIONS
-from finchswitch.mishap import Mishap
+from finchswitch.errors import FleetError
 
 __all__ = ["Proof", "make_transport"]
 
@@ -92,8 +92,8 @@
                         raise
         except TimeoutError:
             raise httpcore.ConnectTimeout(f"connect to {address}") from None
-        except Mishap as mishap:
-            raise httpcore.ConnectError(str(mishap)) from None
+        except FleetError as error:
+            raise httpcore.ConnectError(str(error)) from None
         except (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError, anyio.EndOfStream) as broken:
             raise httpcore.ConnectError(f"connect to {address}: {broken}") from None
         return _Stream(stream)
--- a/src/finchswitch/wire/line.py
+++ b/src/finchswitch/transport/line.py
@@ -8,8 +8,8 @@
 from anyio.abc import ByteStream
 from anyio.streams.buffered import BufferedByteReceiveStream
 
-from finchswitch.mishap import Mishap, MishapKind
-from finchswitch.wire.netstring import Message, pack, unpack_next
+from finchswitch.errors import ErrorKind, FleetError
+from finchswitch.transport.netstring import Message, pack, unpack_next
 
 __all__ = ["CONNECTION_GONE", "Line"]
 
@@ -29,11 +29,11 @@
         return await unpack_next(self.reader, self.peer)
 
     def check(self, message: Message) -> None:
-        """Raises a Mishap NEWER for a format that this process does not read; fields it does not know are no matter."""
+        """Raises a FleetError NEWER for a format that this process does not read; unknown fields are passed over."""
         spoken = message.get("format", 1)
         if not isinstance(spoken, int) or spoken > self._formats[1]:
             reason = f"speaks format {spoken!r}, and {self._formats[1]} is the newest that is read here"
-            raise Mishap(MishapKind.NEWER, "format", self.peer, reason)
+            raise FleetError(ErrorKind.NEWER, "format", self.peer, reason)
 
     async def send(self, message: Message) -> None:
         frame = pack({"format": self._formats[0], **message})
@@ -41,4 +41,4 @@
             async with self._lock:
                 await self.stream.send(frame)
         except CONNECTION_GONE:
-            raise Mishap(MishapKind.BROKEN, "send", self.peer, "connection gone") from None
+            raise FleetError(ErrorKind.BROKEN, "send", self.peer, "connection gone") from None
--- a/src/finchswitch/wire/link.py
+++ b/src/finchswitch/transport/link.py
@@ -17,11 +17,11 @@
 from returns.primitives.exceptions import UnwrapFailedError
 
 from finchswitch.constants import ASK_WAIT_MS, DIAL_WAIT_MS, INBOX_MOST
+from finchswitch.errors import ErrorKind, FleetError
 from finchswitch.logs import prefix
-from finchswitch.mishap import Mishap, MishapKind
-from finchswitch.wire.line import CONNECTION_GONE, Line
-from finchswitch.wire.netstring import Message
-from finchswitch.wire.world import World
+from finchswitch.transport.line import CONNECTION_GONE, Line
+from finchswitch.transport.netstring import Message
+from finchswitch.transport.world import World
 
 __all__ = ["GONE", "Asked", "Book", "field", "reading", "serve_asks", "settle"]
 
@@ -38,17 +38,17 @@
     """
     value = body.get(name)
     if not isinstance(value, kind):
-        raise Mishap(MishapKind.BROKEN, "shape", peer, f"field {name} missing or of the wrong type")
+        raise FleetError(ErrorKind.BROKEN, "shape", peer, f"field {name} missing or of the wrong type")
     return value
 
 
 @contextmanager
 def reading(step: str, peer: str) -> Iterator[None]:
-    """What a peer sent is being read: a wrong shape anywhere in it is the peer's mishap, not an end of this process."""
+    """What a peer sent is being read: a wrong shape anywhere in it is the peer's error, not an end of this process."""
     try:
         yield
     except (LookupError, TypeError, ValueError, AttributeError, UnwrapFailedError) as wrong:
-        raise Mishap(MishapKind.BROKEN, step, peer, f"not of the agreed shape: {wrong!r}") from None
+        raise FleetError(ErrorKind.BROKEN, step, peer, f"not of the agreed shape: {wrong!r}") from None
 
 
 class _Link:
@@ -69,7 +69,7 @@
         self._locks: dict[str, anyio.Lock] = {}
 
     async def ask(self, address: str, kind: str, body: Message, wait_ms: float = ASK_WAIT_MS) -> Message:
-        """Send one ask and return its answer; a Mishap SILENT means that its fate is open."""
+        """Send one ask and return its answer; a FleetError SILENT means that its fate is open."""
         step = f"ask {kind}"
         with anyio.move_on_after(wait_ms / 1000):
             link = await self._link(address, step)
@@ -83,16 +83,16 @@
                 answered = True
             except anyio.EndOfStream:
                 answered = True
-                raise Mishap(MishapKind.SILENT, step, address, "connection lost") from None
+                raise FleetError(ErrorKind.SILENT, step, address, "connection lost") from None
             finally:
                 link.pending.pop(number, None)
                 if not answered and link.received == before:
                     self._drop(address, link)
             if "mishap" in answer:
-                raise Mishap(MishapKind.REFUSED, step, address, str(answer["mishap"]))
+                raise FleetError(ErrorKind.REFUSED, step, address, str(answer["mishap"]))
             content: Message = field(answer, "body", dict, address)
             return content
-        raise Mishap(MishapKind.SILENT, step, address, f"no answer in {wait_ms:.0f} ms")
+        raise FleetError(ErrorKind.SILENT, step, address, f"no answer in {wait_ms:.0f} ms")
 
     def _drop(self, address: str, link: _Link) -> None:
         link.open = False
@@ -109,9 +109,9 @@
             try:
                 stream = await self._world.dial(address, DIAL_WAIT_MS)
             except ConnectionRefusedError:
-                raise Mishap(MishapKind.REFUSED, step, address, "connection refused") from None
+                raise FleetError(ErrorKind.REFUSED, step, address, "connection refused") from None
             except (OSError, TimeoutError):
-                raise Mishap(MishapKind.SILENT, step, address, "cannot connect") from None
+                raise FleetError(ErrorKind.SILENT, step, address, "cannot connect") from None
             link = self._links[address] = _Link(Line(stream, address, self._world.formats))
             self._group.start_soon(self._read, address, link)
             return link
@@ -127,8 +127,8 @@
                 waiting = link.pending.pop(field(answer, "number", int, address), None)
                 if waiting is not None:
                     waiting.send_nowait(answer)
-        except Mishap as mishap:
-            _log.warning("Closed a link. {}", mishap)
+        except FleetError as error:
+            _log.warning("Closed a link. {}", error)
         except CONNECTION_GONE:
             pass
         finally:
@@ -159,17 +159,17 @@
     async def _send(self, message: Message) -> None:
         try:
             await self._line.send(message)
-        except Mishap as mishap:
-            _log.debug("An answer found nobody. {}", mishap)
+        except FleetError as error:
+            _log.debug("An answer found nobody. {}", error)
 
 
 async def settle(asked: Asked, answering: Awaitable[Message], log: Any) -> None:
     """Answer an ask with what a handler gives, refuse it, or close its connection when its shape is wrong."""
     try:
         await asked.answer(await answering)
-    except Mishap as mishap:
-        log.info("Refused {}. {}", asked.kind, mishap)
-        await (asked.close() if mishap.kind is MishapKind.BROKEN else asked.refuse(str(mishap)))
+    except FleetError as error:
+        log.info("Refused {}. {}", asked.kind, error)
+        await (asked.close() if error.kind is ErrorKind.BROKEN else asked.refuse(str(error)))
     except (LookupError, TypeError, ValueError, AttributeError) as wrong:
         log.warning("Closed {} for a message of the wrong shape: {} {!r}.", asked.peer, asked.kind, wrong)
         await asked.close()
@@ -183,16 +183,16 @@
         while (message := await line.next()) is not None:
             try:
                 line.check(message)
-            except Mishap as mishap:
-                _log.error("A newer process is kept out. {}", mishap)
-                await line.send({"number": message.get("number"), "mishap": str(mishap)})
+            except FleetError as error:
+                _log.error("A newer process is kept out. {}", error)
+                await line.send({"number": message.get("number"), "mishap": str(error)})
                 break
             number, kind = field(message, "number", int, peer), field(message, "kind", str, peer)
             if kind == GONE:
-                raise Mishap(MishapKind.BROKEN, "shape", peer, "a kind that no peer may send")
+                raise FleetError(ErrorKind.BROKEN, "shape", peer, "a kind that no peer may send")
             await inbox.send(Asked(kind, field(message, "body", dict, peer), peer, number, line))
-    except Mishap as mishap:
-        _log.warning("Closed a connection. {}", mishap)
+    except FleetError as error:
+        _log.warning("Closed a connection. {}", error)
     except CONNECTION_GONE:
         pass
     finally:
--- a/src/finchswitch/wire/netstring.py
+++ b/src/finchswitch/transport/netstring.py
@@ -11,7 +11,7 @@
 from anyio.streams.buffered import BufferedByteReceiveStream
 
 from finchswitch.constants import FRAME_DIGITS_MOST, FRAME_MOST_BYTES
-from finchswitch.mishap import Mishap, MishapKind
+from finchswitch.errors import ErrorKind, FleetError
 
 __all__ = ["Message", "pack", "unpack_next"]
 
@@ -26,7 +26,7 @@
     """
     body = json.dumps(message, separators=(",", ":")).encode()
     if len(body) > FRAME_MOST_BYTES:
-        raise Mishap(MishapKind.LARGE, "pack", "self", f"{len(body)} bytes in one frame")
+        raise FleetError(ErrorKind.LARGE, "pack", "self", f"{len(body)} bytes in one frame")
     return str(len(body)).encode() + b":" + body + b","
 
 
@@ -35,23 +35,23 @@
     try:
         head = await stream.receive_until(b":", FRAME_DIGITS_MOST + 1)
     except DelimiterNotFound:
-        raise Mishap(MishapKind.BROKEN, "frame", peer, "no length") from None
+        raise FleetError(ErrorKind.BROKEN, "frame", peer, "no length") from None
     except (IncompleteRead, EndOfStream):
         if stream.buffer:
-            raise Mishap(MishapKind.BROKEN, "frame", peer, "cut in the length") from None
+            raise FleetError(ErrorKind.BROKEN, "frame", peer, "cut in the length") from None
         return None
     if not head.isdigit() or int(head) > FRAME_MOST_BYTES:
-        raise Mishap(MishapKind.BROKEN, "frame", peer, f"length {head[:12]!r} not allowed")
+        raise FleetError(ErrorKind.BROKEN, "frame", peer, f"length {head[:12]!r} not allowed")
     try:
         body = await stream.receive_exactly(int(head) + 1)
     except (IncompleteRead, EndOfStream):
-        raise Mishap(MishapKind.BROKEN, "frame", peer, "cut in the body") from None
+        raise FleetError(ErrorKind.BROKEN, "frame", peer, "cut in the body") from None
     if body[-1:] != b",":
-        raise Mishap(MishapKind.BROKEN, "frame", peer, "no closing comma")
+        raise FleetError(ErrorKind.BROKEN, "frame", peer, "no closing comma")
     try:
         message = json.loads(body[:-1])
     except (ValueError, RecursionError):
-        raise Mishap(MishapKind.BROKEN, "frame", peer, "not JSON") from None
+        raise FleetError(ErrorKind.BROKEN, "frame", peer, "not JSON") from None
     if not isinstance(message, dict):
-        raise Mishap(MishapKind.BROKEN, "frame", peer, "not an object")
+        raise FleetError(ErrorKind.BROKEN, "frame", peer, "not an object")
     return message
--- a/src/finchswitch/wire/real.py
+++ b/src/finchswitch/transport/real.py
@@ -13,9 +13,9 @@
 from hypercorn.trio import serve
 
 from finchswitch.constants import ANSWER_LONGEST_MS, CALLER_STILL_MS, WIRE_FORMAT, WIRE_READS
-from finchswitch.mishap import Mishap
-from finchswitch.wire.client import Proof, make_transport
-from finchswitch.wire.world import Listener
+from finchswitch.errors import FleetError
+from finchswitch.transport.client import Proof, make_transport
+from finchswitch.transport.world import Listener
 
 __all__ = ["RealWorld", "split_address"]
 
@@ -53,7 +53,7 @@
         sock.bind(split_address(address))
     except OSError as error:
         sock.close()
-        raise Mishap.refused("listen", address, error.strerror or str(error)) from None
+        raise FleetError.refused("listen", address, error.strerror or str(error)) from None
     return sock
 
 
@@ -83,7 +83,7 @@
         try:
             listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
         except OSError as error:
-            raise Mishap.refused("listen", address, error.strerror or str(error)) from None
+            raise FleetError.refused("listen", address, error.strerror or str(error)) from None
         return _RealListener(listener.listeners[0])
 
     async def serve_http(self, app: Any, address: str, stop: anyio.Event) -> None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,10 +5,10 @@
 import logbook
 import pytest
 
-from finchswitch.rehearsal.deployments import VILLAGE
-from finchswitch.rehearsal.history import History
-from finchswitch.rehearsal.play import play
-from finchswitch.rehearsal.theatre import Theatre
+from finchswitch.simulation.cluster import Cluster
+from finchswitch.simulation.deployments import VILLAGE
+from finchswitch.simulation.history import History
+from finchswitch.simulation.play import play
 
 
 @pytest.fixture(autouse=True)
@@ -18,8 +18,8 @@
 
 
 @pytest.fixture
-def staged() -> Callable[[Callable[[Theatre], Awaitable[None]]], History]:
-    def run(scene: Callable[[Theatre], Awaitable[None]], seed: int = 1) -> History:
+def staged() -> Callable[[Callable[[Cluster], Awaitable[None]]], History]:
+    def run(scene: Callable[[Cluster], Awaitable[None]], seed: int = 1) -> History:
         return play(scene, VILLAGE, seed)
 
     return run
--- a/tests/test_brief.py
+++ b/tests/test_brief.py
@@ -4,8 +4,8 @@
 from pathlib import Path
 
 from finchswitch.programs.faults import FAULTS
-from finchswitch.rehearsal.checkers import CHECKERS
-from finchswitch.rehearsal.sweep import ALL
+from finchswitch.simulation.checkers import CHECKERS
+from finchswitch.simulation.sweep import ALL
 
 ROOT = Path(__file__).parent.parent
 TEXT = (ROOT / "docs" / "brief.md").read_text()
--- a/tests/test_checkers.py
+++ b/tests/test_checkers.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from finchswitch.rehearsal.checkers import CHECKERS, judge
-from finchswitch.rehearsal.history import (
+from finchswitch.simulation.checkers import CHECKERS, judge
+from finchswitch.simulation.history import (
     Arrival,
     Call,
     Change,
--- a/tests/test_clocks.py
+++ b/tests/test_clocks.py
@@ -5,7 +5,7 @@
 from dataclasses import asdict
 from random import Random
 
-from finchswitch.rehearsal.sweep import perform
+from finchswitch.simulation.sweep import perform
 
 
 def test_jumping_wall_clocks_change_nothing(monkeypatch):
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -8,12 +8,12 @@
 from typer.testing import CliRunner
 
 import finchswitch.programs.cli
-import finchswitch.shelf
+import finchswitch.storage
+from finchswitch.errors import FleetError
 from finchswitch.logs import line_of, prefix
-from finchswitch.mishap import Mishap
 from finchswitch.programs.cli import app
 from finchswitch.programs.startup import read_startup
-from finchswitch.shelf import RealDisk, Shelf
+from finchswitch.storage import RealDisk, VersionedFile
 
 RUN = CliRunner()
 SOUND = {
@@ -137,8 +137,8 @@
 
 def test_a_folder_of_a_newer_version_is_named_and_left(tmp_path, monkeypatch):
     monkeypatch.setattr(finchswitch.programs.cli, "to_stderr", lambda level, name, form: None)
-    monkeypatch.setattr(finchswitch.shelf, "SHELF_FORMAT", 2)
-    Shelf(RealDisk(tmp_path / "data"), "store").put({"store": "s", "fleet": "f", "founders": []})
+    monkeypatch.setattr(finchswitch.storage, "STORAGE_FORMAT", 2)
+    VersionedFile(RealDisk(tmp_path / "data"), "store").put({"store": "s", "fleet": "f", "founders": []})
     file = tmp_path / "a.toml"
     file.write_text("\n".join(f"{name} = {json.dumps(value)}" for name, value in SOUND.items()))
     result = RUN.invoke(app, ["accord", "--file", str(file), "--data", str(tmp_path / "data")])
@@ -148,7 +148,7 @@
 
 def test_a_log_line_for_programs_has_fixed_fields_and_a_mishaps_step_and_peer():
     with logbook.TestHandler() as caught:
-        prefix("call").warning("A try failed. {}", Mishap.silent("connect", "r1", "no answer"))
+        prefix("call").warning("A try failed. {}", FleetError.silent("connect", "r1", "no answer"))
         prefix("relay").info("creed is at generation {}.", 4)
     first, second = (json.loads(line_of(record, "t1")) for record in caught.records)
     assert {each: first[each] for each in ("process", "part", "level", "step", "peer", "kind")} == {
--- a/tests/test_commit_steps.py
+++ b/tests/test_commit_steps.py
@@ -2,10 +2,10 @@
 
 import pytest
 
-from finchswitch.rehearsal.deployments import CORE
-from finchswitch.rehearsal.disk import SimDisk
-from finchswitch.rehearsal.play import play
-from finchswitch.rehearsal.scenes import mark_edit
+from finchswitch.simulation.deployments import CORE
+from finchswitch.simulation.disk import SimDisk
+from finchswitch.simulation.play import play
+from finchswitch.simulation.scenes import mark_edit
 
 
 @pytest.mark.parametrize("power", [False, True])
@@ -14,28 +14,28 @@
     """Steps are the disk calls of all stores from the change on: written, folder synced, three times."""
     seen = {}
 
-    async def scene(theatre):
-        await theatre.insist({"configuration": theatre.deployment.creed()})
-        await theatre.outside.sleep(1_000)
-        owner = next(a.name for a in theatre.of_kind("accord") if a.council.registers["creed"].owns())
+    async def scene(cluster):
+        await cluster.insist({"configuration": cluster.deployment.configuration()})
+        await cluster.outside.sleep(1_000)
+        owner = next(a.name for a in cluster.of_kind("accord") if a.control.proposers["creed"].owns())
         steps, wait = iter(range(1, 1_000)), SimDisk._wait
 
         def counted(disk):
             if next(steps) == step:
-                theatre.kill(owner, power)
+                cluster.kill(owner, power)
             wait(disk)
 
         monkeypatch.setattr(SimDisk, "_wait", counted)
-        first = await theatre.change(1, mark_edit("mark-a"), "mark-a", at=owner)
+        first = await cluster.change(1, mark_edit("mark-a"), "mark-a", at=owner)
         monkeypatch.setattr(SimDisk, "_wait", wait)
-        other = await theatre.insist(mark_edit("mark-b"), "mark-b")
+        other = await cluster.insist(mark_edit("mark-b"), "mark-b")
         again = first
         while again.status not in (200, 202, 409):
-            again = await theatre.change(1, mark_edit("mark-a"), "mark-a", change_id=first.change_id, again=True)
-        if theatre.actors[owner].group is None:
-            theatre.start(owner)
-        await theatre.outside.sleep(3_000)
-        bodies = [actor.council.news.body("creed")["services"] for actor in theatre.of_kind("accord")]
+            again = await cluster.change(1, mark_edit("mark-a"), "mark-a", change_id=first.change_id, again=True)
+        if cluster.processes[owner].group is None:
+            cluster.start(owner)
+        await cluster.outside.sleep(3_000)
+        bodies = [process.control.news.body("creed")["services"] for process in cluster.of_kind("accord")]
         assert bodies[0] == bodies[1] == bodies[2]
         assert other.status == 200 and "mark-b" in bodies[0]
         assert ("mark-a" in bodies[0]) is (again.status in (200, 202))
--- a/tests/test_doors.py
+++ b/tests/test_doors.py
@@ -4,8 +4,8 @@
 
 import httpx
 
-from finchswitch.rehearsal.deployments import VILLAGE
-from finchswitch.rehearsal.scenes import mark_edit, open_up
+from finchswitch.simulation.deployments import VILLAGE
+from finchswitch.simulation.scenes import mark_edit, open_up
 
 GOOD = {"model": "rulings", "stream": True, "messages": [{"role": "user", "content": "hi"}]}
 
@@ -26,14 +26,14 @@
     ]
     got = []
 
-    async def scene(theatre):
-        await open_up(theatre)
-        async with httpx.AsyncClient(transport=theatre.outside.http_transport()) as client:
+    async def scene(cluster):
+        await open_up(cluster)
+        async with httpx.AsyncClient(transport=cluster.outside.http_transport()) as client:
             for body, headers, _ in cases:
-                began_ms = theatre.now_ms()
+                began_ms = cluster.now_ms()
                 url = "http://10.0.1.1:8000/v1/chat/completions"
                 answer = await client.post(url, content=body, headers=headers)
-                got.append((answer.status_code, answer.headers["x-outcome"], theatre.now_ms() - began_ms < 100))
+                got.append((answer.status_code, answer.headers["x-outcome"], cluster.now_ms() - began_ms < 100))
             assert (await client.post("http://10.0.1.1:8000/v1/nothing")).status_code == 404
             assert (await client.get("http://10.0.1.1:8000/v1/chat/completions")).status_code == 405
 
@@ -43,10 +43,10 @@
 
 
 def test_a_request_id_under_way_or_lately_sent_is_refused_and_not_called_not_run(staged):
-    async def scene(theatre):
-        await open_up(theatre)
+    async def scene(cluster):
+        await open_up(cluster)
         headers, body = {"x-request-id": "same"}, {**GOOD, "max_tokens": 50}
-        async with httpx.AsyncClient(transport=theatre.outside.http_transport()) as client:
+        async with httpx.AsyncClient(transport=cluster.outside.http_transport()) as client:
             url = "http://10.0.1.1:8000/v1/chat/completions"
             async with client.stream("POST", url, json=body, headers=headers) as first:
                 assert first.status_code == 200
@@ -61,48 +61,48 @@
 
 
 def test_an_id_comes_again_if_both_sendings_are_repeatable_or_the_runner_refused(staged):
-    async def scene(theatre):
-        await open_up(theatre)
+    async def scene(cluster):
+        await open_up(cluster)
         url = "http://10.0.1.1:8000/v1/chat/completions"
-        async with httpx.AsyncClient(transport=theatre.outside.http_transport()) as client:
+        async with httpx.AsyncClient(transport=cluster.outside.http_transport()) as client:
             for _ in range(2):
                 answer = await client.post(url, json=GOOD, headers={"x-request-id": "r", "x-repeatable": "yes"})
                 assert answer.status_code == 200
-            for runner in theatre.runners.values():
+            for runner in cluster.runners.values():
                 runner.refusing = True
             assert (await client.post(url, json=GOOD, headers={"x-request-id": "n"})).headers["x-outcome"] == "not-run"
-            for runner in theatre.runners.values():
+            for runner in cluster.runners.values():
                 runner.refusing = False
-            await theatre.outside.sleep(3_000)
+            await cluster.outside.sleep(3_000)
             assert (await client.post(url, json=GOOD, headers={"x-request-id": "n"})).status_code == 200
 
     assert sorted(run.request_id for run in staged(scene).runs) == ["n", "r", "r"]
 
 
 def test_a_caller_that_leaves_frees_its_seat_and_the_runner(staged):
-    async def scene(theatre):
-        await open_up(theatre)
+    async def scene(cluster):
+        await open_up(cluster)
         body = {**GOOD, "max_tokens": 500}
-        node = theatre.actors["transit1"].node
-        async with httpx.AsyncClient(transport=theatre.outside.http_transport()) as client:
+        node = cluster.processes["transit1"].node
+        async with httpx.AsyncClient(transport=cluster.outside.http_transport()) as client:
             async with client.stream("POST", "http://10.0.1.1:8000/v1/chat/completions", json=body) as answer:
                 assert answer.status_code == 200
                 assert node.underway and node.burdens.spoken(0.0)
-        await theatre.outside.sleep(500)
+        await cluster.outside.sleep(500)
         assert not node.underway and not node.burdens.spoken(0.0)
-        assert [run.pieces < 100 for runner in theatre.runners.values() for run in runner.runs] == [True]
+        assert [run.pieces < 100 for runner in cluster.runners.values() for run in runner.runs] == [True]
 
     staged(scene)
 
 
 def test_operators_get_the_status_that_fits(staged):
-    async def scene(theatre):
-        await open_up(theatre)
+    async def scene(cluster):
+        await open_up(cluster)
         desk = "http://10.0.9.1:8000/v1/changes"
         sound = {"changeId": "a", "base": 1, **mark_edit("mark-a")}
         wrong_binding = {"kind": "bindings", "name": "x", "value": {"service": "no", "runners": ["no"]}}
         gone = {"kind": "runners", "name": "never", "value": None}
-        async with httpx.AsyncClient(transport=theatre.outside.http_transport(), timeout=9) as client:
+        async with httpx.AsyncClient(transport=cluster.outside.http_transport(), timeout=9) as client:
 
             async def send(content):
                 body = json.dumps(content).encode() if isinstance(content, dict) else content
@@ -129,18 +129,21 @@
 
 
 def test_a_configuration_of_thousands_of_bindings_is_in_effect_in_time(staged):
-    async def scene(theatre):
-        await open_up(theatre)
-        creed = theatre.deployment.creed()
+    async def scene(cluster):
+        await open_up(cluster)
+        configuration = cluster.deployment.configuration()
         for at in range(3_000):
-            creed["services"][f"extra-{at}"] = {"dueMs": 5_000}
-            creed["bindings"][f"extra-{at}"] = {"service": f"extra-{at}", "runners": theatre.deployment.runner_names()}
-        change = await theatre.change(1, {"configuration": creed})
+            configuration["services"][f"extra-{at}"] = {"dueMs": 5_000}
+            configuration["bindings"][f"extra-{at}"] = {
+                "service": f"extra-{at}",
+                "runners": cluster.deployment.runner_names(),
+            }
+        change = await cluster.change(1, {"configuration": configuration})
         assert change.status == 200 and change.answered_ms - change.sent_ms < 2_000
-        small = await theatre.change(2, mark_edit("mark-small"))
+        small = await cluster.change(2, mark_edit("mark-small"))
         assert small.status == 200 and small.answered_ms - small.sent_ms < 2_000
-        assert {theatre.actors[f"transit{at}"].node.generation() for at in range(1, 5)} == {3}
-        await theatre.call(1_000, 1.0)
-        assert all(call.outcome == "complete" for call in theatre.history.calls)
+        assert {cluster.processes[f"transit{at}"].node.generation() for at in range(1, 5)} == {3}
+        await cluster.call(1_000, 1.0)
+        assert all(call.outcome == "complete" for call in cluster.history.calls)
 
     staged(scene)
--- a/tests/test_full_size.py
+++ b/tests/test_full_size.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from finchswitch.rehearsal.deployments import DEPLOYMENTS
-from finchswitch.rehearsal.sweep import perform
+from finchswitch.simulation.deployments import DEPLOYMENTS
+from finchswitch.simulation.sweep import perform
 
 
 @pytest.mark.parametrize("scene, deployment", [("steady", "zuerich"), ("big-loss", "hobart")])
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -3,119 +3,119 @@
 import httpx
 import pytest
 
-import finchswitch.accord.acceptor
-import finchswitch.accord.change
-import finchswitch.accord.register
-import finchswitch.kinship.member
-import finchswitch.kinship.sessions
-import finchswitch.rehearsal.disk
-import finchswitch.rehearsal.machine
-import finchswitch.rehearsal.theatre
-import finchswitch.relay.news
-import finchswitch.transit.call
-import finchswitch.transit.dialect
-import finchswitch.transit.duties
-import finchswitch.transit.own
-import finchswitch.transit.proof
-import finchswitch.transit.roster
-import finchswitch.transit.tries
-import finchswitch.wire.line
-from finchswitch.rehearsal.sweep import perform
+import finchswitch.control.acceptor
+import finchswitch.control.changes
+import finchswitch.control.proposer
+import finchswitch.distribution.news
+import finchswitch.membership.member
+import finchswitch.membership.sessions
+import finchswitch.router.call
+import finchswitch.router.dialect
+import finchswitch.router.duties
+import finchswitch.router.own
+import finchswitch.router.proof
+import finchswitch.router.roster
+import finchswitch.router.tries
+import finchswitch.simulation.cluster
+import finchswitch.simulation.disk
+import finchswitch.simulation.machine
+import finchswitch.transport.line
+from finchswitch.simulation.sweep import perform
 
 
 def without_majority(patch):
-    patch.setattr(finchswitch.accord.register, "majority", lambda yes, *groups: len(yes) >= 1)
+    patch.setattr(finchswitch.control.proposer, "majority", lambda yes, *groups: len(yes) >= 1)
 
 
 def without_taking_up(patch):
-    elect = finchswitch.accord.register.Register._elect
+    elect = finchswitch.control.proposer.Proposer._elect
 
     async def forgetful(self, known):
         return known if await elect(self, known) is not None else None
 
-    patch.setattr(finchswitch.accord.register.Register, "_elect", forgetful)
+    patch.setattr(finchswitch.control.proposer.Proposer, "_elect", forgetful)
 
 
 def without_promise(patch):
-    accept = finchswitch.accord.acceptor.Acceptor.accept
+    accept = finchswitch.control.acceptor.Acceptor.accept
 
     def easy(self, ballot, document, delta):
         self.promised = min(self.promised, ballot)
         return accept(self, ballot, document, delta)
 
-    patch.setattr(finchswitch.accord.acceptor.Acceptor, "accept", easy)
+    patch.setattr(finchswitch.control.acceptor.Acceptor, "accept", easy)
 
 
 def without_disk(patch):
     def keep(self, promised, ballot, document):
         self.promised, self.ballot, self.document = promised, ballot, document
 
-    patch.setattr(finchswitch.accord.acceptor.Acceptor, "_keep", keep)
+    patch.setattr(finchswitch.control.acceptor.Acceptor, "_keep", keep)
 
 
 def without_proof(patch):
     async def none(self, stream, address):
         pass
 
-    patch.setattr(finchswitch.transit.proof.RunnerProof, "__call__", none)
+    patch.setattr(finchswitch.router.proof.RunnerProof, "__call__", none)
 
 
 def with_blind_repeats(patch):
-    run = finchswitch.transit.call._run
+    run = finchswitch.router.call._run
 
     async def repeating(node, dialect, call, send):
         object.__setattr__(call, "repeatable", True)
         return await run(node, dialect, call, send)
 
-    patch.setattr(finchswitch.transit.call, "_run", repeating)
+    patch.setattr(finchswitch.router.call, "_run", repeating)
 
 
 def without_leaving(patch):
-    move, event = finchswitch.transit.roster.Roster._move, finchswitch.transit.roster.RunnerEvent
+    move, event = finchswitch.router.roster.Roster._move, finchswitch.router.roster.RunnerEvent
     blind = lambda self, known, what: move(self, known, event.LISTED if what is event.LEAVES else what)  # noqa: E731
-    patch.setattr(finchswitch.transit.roster.Roster, "_move", blind)
+    patch.setattr(finchswitch.router.roster.Roster, "_move", blind)
 
 
 def without_lease(patch):
     def always(self):
         return self._news.generation("creed") >= 1 and self.state.value != "stopping"
 
-    patch.setattr(finchswitch.kinship.member.Member, "may_grant", always)
-    patch.setattr(finchswitch.kinship.member.Member, "may_send", always)
+    patch.setattr(finchswitch.membership.member.Member, "may_grant", always)
+    patch.setattr(finchswitch.membership.member.Member, "may_send", always)
 
 
 def without_soft_stop(patch):
     async def at_once(node, stop, closed):
         node.member.stop()
 
-    patch.setattr(finchswitch.rehearsal.theatre, "stop_node", at_once)
+    patch.setattr(finchswitch.simulation.cluster, "stop_node", at_once)
 
 
 def without_budget(patch):
-    patch.setattr(finchswitch.transit.tries.Tries, "take", lambda self, share, now_ms, service, floor: True)
+    patch.setattr(finchswitch.router.tries.Tries, "take", lambda self, share, now_ms, service, floor: True)
 
 
 def with_false_not_run(patch):
-    begin = finchswitch.transit.dialect.TryMishap.__init__
+    begin = finchswitch.router.dialect.AttemptError.__init__
 
     def hopeful(self, fate, step, peer, reason):
-        begin(self, finchswitch.transit.dialect.Fate.NOT_RUN, step, peer, reason)
+        begin(self, finchswitch.router.dialect.Fate.NOT_RUN, step, peer, reason)
 
-    patch.setattr(finchswitch.transit.dialect.TryMishap, "__init__", hopeful)
+    patch.setattr(finchswitch.router.dialect.AttemptError, "__init__", hopeful)
 
 
 def without_waiting_for_the_end(patch):
-    events = finchswitch.transit.own._events
+    events = finchswitch.router.own._events
 
     async def trusting(response, known):
         try:
             async for content in events(response, known):
                 yield content
-        except (finchswitch.transit.dialect.TryMishap, httpx.HTTPError):
+        except (finchswitch.router.dialect.AttemptError, httpx.HTTPError):
             return
 
-    patch.setattr(finchswitch.transit.own, "_events", trusting)
-    patch.setattr(finchswitch.transit.own, "_finishes", lambda content: True)
+    patch.setattr(finchswitch.router.own, "_events", trusting)
+    patch.setattr(finchswitch.router.own, "_finishes", lambda content: True)
 
 
 def with_falling_news(patch):
@@ -123,58 +123,58 @@
         self._items[part] = (generation, body)
         return True
 
-    patch.setattr(finchswitch.relay.news.NewsBook, "take", take)
+    patch.setattr(finchswitch.distribution.news.NewsBook, "take", take)
 
 
 def without_sticky_leaving(patch):
     chart, states, events = (
-        getattr(finchswitch.transit.roster, name) for name in ("_CHART", "RunnerState", "RunnerEvent")
+        getattr(finchswitch.router.roster, name) for name in ("_TRANSITIONS", "RunnerState", "RunnerEvent")
     )
     patch.setitem(chart.moves, (states.LEAVING, events.LISTED), states.UP)
-    patch.setattr(finchswitch.transit.roster.Roster, "hear_leaving", lambda self, leaving: None)
+    patch.setattr(finchswitch.router.roster.Roster, "hear_leaving", lambda self, leaving: None)
 
 
 def without_half_of_peers(patch):
     def confirmed(self):
         return not self._controlled() or self._news.generation("creed") >= self._told.get("creed", 0)
 
-    patch.setattr(finchswitch.kinship.member.Member, "_confirmed", confirmed)
+    patch.setattr(finchswitch.membership.member.Member, "_confirmed", confirmed)
 
 
 def without_folder_sync(patch):
-    patch.setattr(finchswitch.rehearsal.disk.SimDisk, "sync_folder", lambda self, folder: None)
+    patch.setattr(finchswitch.simulation.disk.SimDisk, "sync_folder", lambda self, folder: None)
 
 
 def without_fence(patch):
     async def edit(self, key, guard, edits, also=None):
-        body = {"part": finchswitch.transit.duties.part_of(key), "guards": [], "edits": edits}
+        body = {"part": finchswitch.router.duties.part_of(key), "guards": [], "edits": edits}
         await self._node.book.ask(self._node.member.controls.chosen, "part.edit", body, 1_000)
 
-    patch.setattr(finchswitch.transit.duties.Duties, "_edit", edit)
+    patch.setattr(finchswitch.router.duties.Duties, "_edit", edit)
 
 
 def without_counting_pieces(patch):
-    patch.setattr(finchswitch.transit.own, "_follows", lambda number, before: True)
+    patch.setattr(finchswitch.router.own, "_follows", lambda number, before: True)
 
 
 def without_409(patch):
-    as_owner = finchswitch.accord.change._as_owner
+    as_owner = finchswitch.control.changes._as_owner
 
-    async def obliging(council, change):
-        document = council.registers["creed"].document
-        return await as_owner(council, {**change, "base": document["generation"]} if document else change)
+    async def obliging(control, change):
+        document = control.proposers["creed"].document
+        return await as_owner(control, {**change, "base": document["generation"]} if document else change)
 
-    patch.setattr(finchswitch.accord.change, "_as_owner", obliging)
+    patch.setattr(finchswitch.control.changes, "_as_owner", obliging)
 
 
 def without_former_group(patch):
-    majority = finchswitch.accord.register.majority
-    patch.setattr(finchswitch.accord.register, "majority", lambda yes, group, former: majority(yes, group))
+    majority = finchswitch.control.proposer.majority
+    patch.setattr(finchswitch.control.proposer, "majority", lambda yes, group, former: majority(yes, group))
 
 
 def with_a_clock_that_stops(patch):
     """Machines whose clock does not count the time that they were frozen."""
-    machine = finchswitch.rehearsal.machine.Machine
+    machine = finchswitch.simulation.machine.Machine
     freeze, thaw, now_ms, lost, since = machine.freeze, machine.thaw, machine.now_ms, {}, {}
 
     def frozen(self):
@@ -192,7 +192,7 @@
 
 
 def without_format_check(patch):
-    patch.setattr(finchswitch.wire.line.Line, "check", lambda self, message: None)
+    patch.setattr(finchswitch.transport.line.Line, "check", lambda self, message: None)
 
 
 # What is taken out, the scene and seed that miss it, and the point that is broken then.
--- a/tests/test_last_check.py
+++ b/tests/test_last_check.py
@@ -3,26 +3,26 @@
 import anyio
 import httpx
 
-from finchswitch.rehearsal.callers import call_once
-from finchswitch.rehearsal.history import Call
-from finchswitch.rehearsal.scenes import mark_edit, open_up
+from finchswitch.simulation.callers import call_once
+from finchswitch.simulation.history import Call
+from finchswitch.simulation.scenes import mark_edit, open_up
 
 
-async def call_under_a_change(theatre, edits):
+async def call_under_a_change(cluster, edits):
     """A call whose runner is slow to prove itself, and a change that is in effect before it has."""
-    await open_up(theatre)
-    for runner in theatre.runners.values():
+    await open_up(cluster)
+    for runner in cluster.runners.values():
         runner.proof_ms = 700.0
-    traffic = theatre.deployment.traffic[0]
-    call = Call("late", traffic.service, False, "transit1", theatre.outside.now_ms())
-    async with httpx.AsyncClient(transport=theatre.outside.http_transport()) as client:
+    traffic = cluster.deployment.traffic[0]
+    call = Call("late", traffic.service, False, "transit1", cluster.outside.now_ms())
+    async with httpx.AsyncClient(transport=cluster.outside.http_transport()) as client:
         async with anyio.create_task_group() as group:
-            body = traffic.body(theatre.chance, 1, 0)
-            group.start_soon(call_once, theatre.outside, client, "10.0.1.1:8000", traffic, body, call)
-            await theatre.outside.sleep(50)
-            change = await theatre.change(1, edits)
+            body = traffic.body(cluster.chance, 1, 0)
+            group.start_soon(call_once, cluster.outside, client, "10.0.1.1:8000", traffic, body, call)
+            await cluster.outside.sleep(50)
+            change = await cluster.change(1, edits)
             assert change.status == 200 and change.answered_ms - change.sent_ms < 600
-            for runner in theatre.runners.values():
+            for runner in cluster.runners.values():
                 runner.proof_ms = 0.0
     return call
 
@@ -30,10 +30,10 @@
 def test_a_runner_unbound_meanwhile_gets_no_request(staged):
     calls = []
 
-    async def scene(theatre):
-        value = {"service": "rulings", "runners": theatre.deployment.spare}
+    async def scene(cluster):
+        value = {"service": "rulings", "runners": cluster.deployment.spare}
         edits = {"edits": [{"kind": "bindings", "name": "rulings", "value": value}]}
-        calls.append(await call_under_a_change(theatre, edits))
+        calls.append(await call_under_a_change(cluster, edits))
 
     history = staged(scene)
     assert [run.runner for run in history.runs] == ["village-n1"]
@@ -41,20 +41,20 @@
 
 
 def test_a_plan_that_moved_on_meanwhile_counts(staged):
-    async def scene(theatre):
-        await open_up(theatre)
-        names = theatre.deployment.runner_names()
-        value = {"leaving": names, "arriving": theatre.deployment.spare, "bindings": ["rulings"], "step": "paused"}
-        await theatre.insist({"edits": [{"kind": "plans", "name": "move", "value": value}]})
-        node, traffic = theatre.actors["transit1"].node, theatre.deployment.traffic[0]
-        for runner in theatre.runners.values():
+    async def scene(cluster):
+        await open_up(cluster)
+        names = cluster.deployment.runner_names()
+        value = {"leaving": names, "arriving": cluster.deployment.spare, "bindings": ["rulings"], "step": "paused"}
+        await cluster.insist({"edits": [{"kind": "plans", "name": "move", "value": value}]})
+        node, traffic = cluster.processes["transit1"].node, cluster.deployment.traffic[0]
+        for runner in cluster.runners.values():
             runner.proof_ms = 400.0
-        call = Call("late", traffic.service, False, "transit1", theatre.outside.now_ms())
-        async with httpx.AsyncClient(transport=theatre.outside.http_transport()) as client:
+        call = Call("late", traffic.service, False, "transit1", cluster.outside.now_ms())
+        async with httpx.AsyncClient(transport=cluster.outside.http_transport()) as client:
             async with anyio.create_task_group() as group:
-                body = traffic.body(theatre.chance, 1, 0)
-                group.start_soon(call_once, theatre.outside, client, "10.0.1.1:8000", traffic, body, call)
-                await theatre.outside.sleep(200)
+                body = traffic.body(cluster.chance, 1, 0)
+                group.start_soon(call_once, cluster.outside, client, "10.0.1.1:8000", traffic, body, call)
+                await cluster.outside.sleep(200)
                 node.plan_state = lambda plan: {"phase": "done", "share": 1.0}  # as news would have it
         assert call.outcome == "complete"
 
@@ -64,16 +64,16 @@
 def test_the_answer_names_the_generation_under_which_it_was_sent(staged):
     calls = []
 
-    async def scene(theatre):
-        await open_up(theatre)
-        traffic = theatre.deployment.traffic[1]
-        call = Call("long", traffic.service, False, "transit1", theatre.outside.now_ms())
-        async with httpx.AsyncClient(transport=theatre.outside.http_transport()) as client:
+    async def scene(cluster):
+        await open_up(cluster)
+        traffic = cluster.deployment.traffic[1]
+        call = Call("long", traffic.service, False, "transit1", cluster.outside.now_ms())
+        async with httpx.AsyncClient(transport=cluster.outside.http_transport()) as client:
             async with anyio.create_task_group() as group:
-                body = traffic.body(theatre.chance, 1, 0)
-                group.start_soon(call_once, theatre.outside, client, "10.0.1.1:8000", traffic, body, call)
-                await theatre.outside.sleep(100)  # it is being prefilled
-                assert (await theatre.change(1, mark_edit("mark-a"))).status == 200
+                body = traffic.body(cluster.chance, 1, 0)
+                group.start_soon(call_once, cluster.outside, client, "10.0.1.1:8000", traffic, body, call)
+                await cluster.outside.sleep(100)  # it is being prefilled
+                assert (await cluster.change(1, mark_edit("mark-a"))).status == 200
                 assert call.first_ms < 0
         calls.append(call)
 
--- a/tests/test_platform_configuration.py
+++ b/tests/test_platform_configuration.py
@@ -6,7 +6,7 @@
 import pytest
 from returns.result import Failure
 
-from finchswitch.creed import Repeat, apply_edits, read_creed
+from finchswitch.configuration import Repeat, apply_edits, read_configuration
 from finchswitch.platform.configuration import document_of, edits_of, named, whole_of
 
 ROUTE = {
@@ -59,8 +59,8 @@
     body = whole_of(document)
     if isinstance(body, Failure):
         return body.failure()
-    creed = read_creed(body.unwrap())
-    return [named(each) for each in creed.failure()] if isinstance(creed, Failure) else []
+    configuration = read_configuration(body.unwrap())
+    return [named(each) for each in configuration.failure()] if isinstance(configuration, Failure) else []
 
 
 def edited(document, patch):
@@ -68,15 +68,15 @@
 
 
 def test_a_route_and_its_service_are_what_the_operator_said():
-    creed = read_creed(whole_of(WHOLE).unwrap()).unwrap()
-    route, plain, service = creed.routes["r-1"], creed.routes["r-2"], creed.services["s-1"]
+    configuration = read_configuration(whole_of(WHOLE).unwrap()).unwrap()
+    route, plain, service = configuration.routes["r-1"], configuration.routes["r-2"], configuration.services["s-1"]
     assert (route.host, route.prefix, route.targets) == ("one.example", "/a/", {"s-1": 90, "s-2": 10})
     assert (route.timeout_ms, route.first_aim_ms, route.gap_aim_ms) == (10_000, 800, 200)
     assert (route.most_runners, route.rank, route.repeat) == (2, 1, Repeat.RESUME)
     assert (plain.targets, plain.most_runners, plain.repeat) == ({"s-1": 1}, 1, Repeat.NEVER)
     assert (service.listed, service.slots, service.memory_tokens) == (True, 64, 443_888)
     assert (service.connections_most, service.health_path) == (370, "/health")
-    settings = creed.settings
+    settings = configuration.settings
     assert (settings.revision, settings.head_most_bytes, settings.body_most_bytes) == (7, 16_384, 4_194_304)
     assert (settings.head_wait_ms, settings.idle_wait_ms) == (3_000, 15_000)
 
@@ -92,13 +92,13 @@
 )
 def test_only_what_the_route_allows_is_repeated(kind, resumption, repeat):
     document = changed(route_type=kind, stream_resumption=resumption)
-    assert read_creed(whole_of(document).unwrap()).unwrap().routes["r-1"].repeat is repeat
+    assert read_configuration(whole_of(document).unwrap()).unwrap().routes["r-1"].repeat is repeat
 
 
 def test_weights_of_one_service_add_up():
     twice = [{"target_service": "s-1", "weight": 90}, {"target_service": "s-1", "weight": 10}]
-    creed = read_creed(whole_of(changed(weighted_targets=twice)).unwrap()).unwrap()
-    assert creed.routes["r-1"].targets == {"s-1": 100}
+    configuration = read_configuration(whole_of(changed(weighted_targets=twice)).unwrap()).unwrap()
+    assert configuration.routes["r-1"].targets == {"s-1": 100}
 
 
 NOT_WHOLE = [
@@ -198,8 +198,8 @@
         "services": [SERVICE, {"name": "s-2"}, {"name": "s-3"}],
         "limits": LIMITS,
     }
-    creed = read_creed(body).unwrap()
-    assert creed.routes["r-1"].timeout_ms == 1 and creed.settings.body_most_bytes == 4_194_304
+    configuration = read_configuration(body).unwrap()
+    assert configuration.routes["r-1"].timeout_ms == 1 and configuration.settings.body_most_bytes == 4_194_304
 
 
 def test_one_name_removed_and_put_in_again_stays():
@@ -242,5 +242,5 @@
     ],
 )
 def test_a_change_after_which_the_whole_is_invalid_is_refused(patch, field):
-    faults = read_creed(edited(WHOLE, {"revision": 9, **patch})).failure()
+    faults = read_configuration(edited(WHOLE, {"revision": 9, **patch})).failure()
     assert {named(each).partition(": ")[0] for each in faults} == {field}
--- a/tests/test_platform_fleet.py
+++ b/tests/test_platform_fleet.py
@@ -39,7 +39,7 @@
 async def statuses_everywhere(fleet, route):
     """One request directly to each node; the statuses that came back."""
     async with httpx.AsyncClient(transport=fleet.outside.http_transport()) as client:
-        return [(await fleet.ask_once(client, route, node=actor.name)).status for actor in fleet.of_kind("transit")]
+        return [(await fleet.ask_once(client, route, node=process.name)).status for process in fleet.of_kind("transit")]
 
 
 def test_a_calm_day_is_served_whole():
@@ -195,7 +195,7 @@
         async with anyio.create_task_group() as group:
             group.start_soon(load, fleet, 8_000)
             await fleet.outside.sleep(2_000)
-            host = fleet.actors["site-r1-i1"].host
+            host = fleet.processes["site-r1-i1"].host
             fleet.kill("site-r1-i1")
             fleet.start_runner("other-r1", "other-i1", host, "s-other")
             await fleet.outside.sleep(3_000)
--- a/tests/test_platform_words.py
+++ b/tests/test_platform_words.py
@@ -81,4 +81,4 @@
 
 
 def test_the_products_own_module_of_that_name_is_no_breach():
-    assert not adapted(imported(PACKAGE / "transit" / "node.py", "from finchswitch.transit.platform import Listed"))
+    assert not adapted(imported(PACKAGE / "transit" / "node.py", "from finchswitch.router.platform import Listed"))
--- a/tests/test_real.py
+++ b/tests/test_real.py
@@ -9,9 +9,9 @@
 from starlette.responses import JSONResponse
 from starlette.routing import Route
 
-from finchswitch.transit.proof import RunnerProof
-from finchswitch.wire import GONE, Book, serve_asks, settle
-from finchswitch.wire.real import RealWorld
+from finchswitch.router.proof import RunnerProof
+from finchswitch.transport import GONE, Book, serve_asks, settle
+from finchswitch.transport.real import RealWorld
 
 
 class Anyone:
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -5,8 +5,8 @@
 import httpx
 import pytest
 
-from finchswitch.rehearsal.replay import read_recording, replay
-from finchswitch.rehearsal.scenes import open_up
+from finchswitch.simulation.replay import read_recording, replay
+from finchswitch.simulation.scenes import open_up
 
 BODY = {"model": "rulings", "stream": True, "max_tokens": 3, "messages": [{"role": "user", "content": "hi"}]}
 
@@ -31,10 +31,10 @@
     assert recording.requests[0].headers == {"x-due-ms": "900"}
     outcomes = []
 
-    async def scene(theatre):
-        await open_up(theatre)
-        async with httpx.AsyncClient(transport=theatre.outside.http_transport()) as client:
-            outcomes.append(await replay(theatre.outside, client, "10.0.1.1:8000", recording, 1.0))
+    async def scene(cluster):
+        await open_up(cluster)
+        async with httpx.AsyncClient(transport=cluster.outside.http_transport()) as client:
+            outcomes.append(await replay(cluster.outside, client, "10.0.1.1:8000", recording, 1.0))
 
     runs = sorted(staged(scene).runs, key=lambda run: run.at_ms)
     assert outcomes == [{"complete": 3}]
--- a/tests/test_runner_ends.py
+++ b/tests/test_runner_ends.py
@@ -5,9 +5,9 @@
 import httpx
 import pytest
 
-from finchswitch.rehearsal.callers import call_once
-from finchswitch.rehearsal.history import Call
-from finchswitch.rehearsal.scenes import open_up
+from finchswitch.simulation.callers import call_once
+from finchswitch.simulation.history import Call
+from finchswitch.simulation.scenes import open_up
 
 
 def piece(number, finish=None, **changed):
@@ -39,7 +39,7 @@
 }
 
 
-def script(theatre, steps, began):
+def script(cluster, steps, began):
     """Makes every runner act out the steps, the first time that one is asked; afterwards they answer whole."""
 
     def acting(runner):
@@ -50,8 +50,8 @@
             own.update({"x-weights": "w1", "content-type": "text/event-stream"})
             for step in now:
                 if step == "cut":
-                    theatre.machine(runner.incarnation).cut_connections(silent=False)
-                    await theatre.outside.sleep(1_000)
+                    cluster.machine(runner.incarnation).cut_connections(silent=False)
+                    await cluster.outside.sleep(1_000)
                     return
                 if step == "head" or isinstance(step, tuple):
                     changed = step[1] if isinstance(step, tuple) else {}
@@ -60,12 +60,12 @@
                     await send({"type": "http.response.start", "status": status, "headers": raw})
                 else:
                     await send({"type": "http.response.body", "body": step, "more_body": True})
-                await theatre.outside.sleep(20)
+                await cluster.outside.sleep(20)
             await send({"type": "http.response.body", "body": b""})
 
         return run
 
-    for runner in theatre.runners.values():
+    for runner in cluster.runners.values():
         runner.run = acting(runner)
 
 
@@ -75,16 +75,16 @@
     steps, fate = ENDS[name]
     began, calls = [], []
 
-    async def scene(theatre):
-        await open_up(theatre)
-        script(theatre, steps, began)
-        traffic = theatre.deployment.traffic[0]
-        call = Call("one", traffic.service, repeatable, "transit1", theatre.outside.now_ms())
+    async def scene(cluster):
+        await open_up(cluster)
+        script(cluster, steps, began)
+        traffic = cluster.deployment.traffic[0]
+        call = Call("one", traffic.service, repeatable, "transit1", cluster.outside.now_ms())
         calls.append(call)
-        async with httpx.AsyncClient(transport=theatre.outside.http_transport()) as client:
-            body = traffic.body(theatre.chance, 1)
-            await call_once(theatre.outside, client, "10.0.1.1:8000", traffic, body, call)
-        assert not theatre.actors["transit1"].node.burdens.spoken(0.0)
+        async with httpx.AsyncClient(transport=cluster.outside.http_transport()) as client:
+            body = traffic.body(cluster.chance, 1)
+            await call_once(cluster.outside, client, "10.0.1.1:8000", traffic, body, call)
+        assert not cluster.processes["transit1"].node.burdens.spoken(0.0)
 
     staged(scene)
     call = calls[0]
--- a/tests/test_scenes.py
+++ b/tests/test_scenes.py
@@ -5,9 +5,9 @@
 
 import pytest
 
-from finchswitch.rehearsal.scenes import SCENES
-from finchswitch.rehearsal.storms import STORMS
-from finchswitch.rehearsal.sweep import perform
+from finchswitch.simulation.scenes import SCENES
+from finchswitch.simulation.storms import STORMS
+from finchswitch.simulation.sweep import perform
 
 
 @pytest.mark.parametrize("name", SCENES)
--- a/tests/test_shared_state.py
+++ b/tests/test_shared_state.py
@@ -5,14 +5,14 @@
 
 import pytest
 
-import finchswitch.shelf
-from finchswitch.accord.acceptor import Acceptor
-from finchswitch.accord.document import founding_document, grow, shrink, succeed
-from finchswitch.accord.store import Store, StoreState
-from finchswitch.mishap import Mishap, MishapKind
-from finchswitch.rehearsal.disk import SimDisk
-from finchswitch.rehearsal.machine import Machine
-from finchswitch.shelf import RealDisk, Shelf
+import finchswitch.storage
+from finchswitch.control.acceptor import Acceptor
+from finchswitch.control.document import founding_document, grow, shrink, succeed
+from finchswitch.control.store import Store, StoreState
+from finchswitch.errors import ErrorKind, FleetError
+from finchswitch.simulation.disk import SimDisk
+from finchswitch.simulation.machine import Machine
+from finchswitch.storage import RealDisk, VersionedFile
 
 GROUP = ["a", "b", "c"]
 
@@ -43,7 +43,7 @@
 
 
 def acceptor_on(disk):
-    return Acceptor(disk.world, "a", "creed", Shelf(disk, "creed"))
+    return Acceptor(disk.world, "a", "creed", VersionedFile(disk, "creed"))
 
 
 def founded(disk):
@@ -83,16 +83,16 @@
 def test_a_slow_sync_is_a_no(disk):
     acceptor = founded(disk)
     disk.took_ms = 500.0
-    with pytest.raises(Mishap) as mishap:
+    with pytest.raises(FleetError) as error:
         acceptor.prepare((1, "b"))
-    assert mishap.value.kind is MishapKind.FULL
+    assert error.value.kind is ErrorKind.FULL
 
 
 def test_a_store_outside_the_group_has_no_vote(disk):
     acceptor = acceptor_on(disk)
     document = founding_document("f", "creed", ["b", "c", "d"])
     acceptor.learn((3, "b"), document)
-    with pytest.raises(Mishap):
+    with pytest.raises(FleetError):
         acceptor.prepare((4, "b"))
     swapped = succeed(document, {}, None, ["a", "b", "c"])
     assert acceptor.accept((3, "b"), swapped, None)["yes"] is True
@@ -115,34 +115,34 @@
 
 def test_a_lost_power_takes_back_what_no_folder_sync_kept():
     disk = SimDisk(Machine("m", 0.0))
-    shelf = Shelf(disk, "x")
-    shelf.put({"n": 1})
+    versions = VersionedFile(disk, "x")
+    versions.put({"n": 1})
     disk.write_synced("x", "000000000002.json.aside", b"")
     disk.rename("x", "000000000002.json.aside", "000000000002.json")
     disk.lose_power(keep_unsynced=False)
-    assert Shelf(disk, "x").newest() == {"n": 1}
+    assert VersionedFile(disk, "x").newest() == {"n": 1}
 
 
 def test_a_full_disk_is_a_mishap_and_the_old_version_stays():
     disk = SimDisk(Machine("m", 0.0))
-    shelf = Shelf(disk, "x")
-    shelf.put({"n": 1})
+    versions = VersionedFile(disk, "x")
+    versions.put({"n": 1})
     disk.full = True
-    with pytest.raises(Mishap) as mishap:
-        shelf.put({"n": 2})
-    assert mishap.value.kind is MishapKind.FULL and mishap.value.step == "put"
-    assert Shelf(disk, "x").newest() == {"n": 1}
+    with pytest.raises(FleetError) as error:
+        versions.put({"n": 2})
+    assert error.value.kind is ErrorKind.FULL and error.value.step == "put"
+    assert VersionedFile(disk, "x").newest() == {"n": 1}
 
 
 def test_what_a_newer_version_wrote_is_left_as_it_is(tmp_path, monkeypatch):
     world, disk = StillWorld(), RealDisk(tmp_path)
     Store(world, disk, "n").found(["x", "y", "z"])
-    monkeypatch.setattr(finchswitch.shelf, "SHELF_FORMAT", 2)
-    Shelf(disk, "part-1").put({"promised": [9, "x"], "ballot": [0, ""], "document": None})
+    monkeypatch.setattr(finchswitch.versions, "SHELF_FORMAT", 2)
+    VersionedFile(disk, "part-1").put({"promised": [9, "x"], "ballot": [0, ""], "document": None})
     before = {file: file.read_bytes() for file in sorted(tmp_path.rglob("*.json"))}
-    with pytest.raises(Mishap) as mishap:
+    with pytest.raises(FleetError) as error:
         Store(world, disk, "n")
-    assert mishap.value.kind is MishapKind.NEWER and "part-1" in str(mishap.value)
+    assert error.value.kind is ErrorKind.NEWER and "part-1" in str(error.value)
     assert {file: file.read_bytes() for file in sorted(tmp_path.rglob("*.json"))} == before
 
 
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -6,10 +6,10 @@
 import pytest
 
 from finchswitch.affinity import Beliefs, Burdens, Choices, Draws, Opening, Seatable, Way, home_order
-from finchswitch.kinship.member import Member
-from finchswitch.relay import NewsBook
-from finchswitch.transit.dialect import Call
-from finchswitch.transit.watch import Watch
+from finchswitch.distribution import NewsBook
+from finchswitch.membership.member import Member
+from finchswitch.router.dialect import Call
+from finchswitch.router.watch import Watch
 
 
 class Clock:
--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -7,12 +7,12 @@
 
 import pytest
 
-from finchswitch.creed import apply_edits, check, read_creed
-from finchswitch.rehearsal.hollow import HollowRun, run_hollow
-from finchswitch.rehearsal.slopes import measure_slopes
-from finchswitch.rehearsal.slopes_control import configuration_of, control_subjects, route_edit
-from finchswitch.rehearsal.slopes_memory import memory_subjects
-from finchswitch.rehearsal.slopes_nodes import node_subjects
+from finchswitch.configuration import apply_edits, check, read_configuration
+from finchswitch.simulation.hollow import HollowRun, run_hollow
+from finchswitch.simulation.slopes import measure_slopes
+from finchswitch.simulation.slopes_control import configuration_of, control_subjects, route_edit
+from finchswitch.simulation.slopes_memory import memory_subjects
+from finchswitch.simulation.slopes_nodes import node_subjects
 
 SIZES = {"grant": (5, 10), "list told": (10, 20), "ask and answer": (0, 1_000), "memory, belief": (1_000, 2_000)}
 
@@ -67,14 +67,14 @@
     read_one = check._read
     for routes in (10, 200):
         body = configuration_of(routes)
-        creed = read_creed(body).unwrap()
+        configuration = read_configuration(body).unwrap()
         edited = apply_edits(body, route_edit()).unwrap()
         monkeypatch.setattr(check, "_read", counted)
-        following = read_creed(edited, (body, creed)).unwrap()
+        following = read_configuration(edited, (body, configuration)).unwrap()
         monkeypatch.undo()
         assert len(read) == 2
         read.clear()
-        changed = [name for name, route in following.routes.items() if route is not creed.routes[name]]
+        changed = [name for name, route in following.routes.items() if route is not configuration.routes[name]]
         assert changed == ["tenant-00000"]
 
 
--- a/tests/test_torn.py
+++ b/tests/test_torn.py
@@ -2,33 +2,33 @@
 
 import pytest
 
-from finchswitch.mishap import Mishap
-from finchswitch.rehearsal.deployments import CORE
-from finchswitch.rehearsal.play import play
-from finchswitch.rehearsal.scenes import mark_edit
-from finchswitch.shelf import Shelf
+from finchswitch.errors import FleetError
+from finchswitch.simulation.deployments import CORE
+from finchswitch.simulation.play import play
+from finchswitch.simulation.scenes import mark_edit
+from finchswitch.storage import VersionedFile
 
 
 def kept_after_a_tear(seed):
     """Whether a change that two stores held outlives the tear of one of them, the third having been away."""
     kept = []
 
-    async def scene(theatre):
-        await theatre.insist({"configuration": theatre.deployment.creed()})
-        theatre.kill("accord3", power=True)
-        change = await theatre.insist(mark_edit("mark-a"), "mark-a")
+    async def scene(cluster):
+        await cluster.insist({"configuration": cluster.deployment.configuration()})
+        cluster.kill("accord3", power=True)
+        change = await cluster.insist(mark_edit("mark-a"), "mark-a")
         assert change.status == 200
         for name in ("accord1", "accord2"):
-            theatre.kill(name, power=True)
-        theatre.disks["accord1"].tear_newest("creed")
+            cluster.kill(name, power=True)
+        cluster.disks["accord1"].tear_newest("creed")
         for name in ("accord1", "accord3"):
-            theatre.start(name)
-        await theatre.outside.sleep(3_000)
-        await theatre.change(1, mark_edit("mark-b"), "mark-b")
-        theatre.start("accord2")
-        await theatre.outside.sleep(3_000)
-        await theatre.insist(mark_edit("mark-c"), "mark-c")
-        kept.append("mark-a" in theatre.actors["accord3"].council.news.body("creed").get("services", {}))
+            cluster.start(name)
+        await cluster.outside.sleep(3_000)
+        await cluster.change(1, mark_edit("mark-b"), "mark-b")
+        cluster.start("accord2")
+        await cluster.outside.sleep(3_000)
+        await cluster.insist(mark_edit("mark-c"), "mark-c")
+        kept.append("mark-a" in cluster.processes["accord3"].control.news.body("creed").get("services", {}))
 
     play(scene, CORE, seed)
     return kept == [True]
@@ -40,15 +40,15 @@
 
 
 def test_voting_from_the_older_file_would_lose_it(monkeypatch):
-    newest = Shelf.newest
+    newest = VersionedFile.newest
 
-    def trusting(shelf):
+    def trusting(versions):
         try:
-            return newest(shelf)
-        except Mishap:
-            name = max(shelf._disk.names(shelf._folder))
-            shelf._disk.remove(shelf._folder, name)
-            return newest(shelf)
+            return newest(versions)
+        except FleetError:
+            name = max(versions._disk.names(versions._folder))
+            versions._disk.remove(versions._folder, name)
+            return newest(versions)
 
-    monkeypatch.setattr(Shelf, "newest", trusting)
+    monkeypatch.setattr(VersionedFile, "newest", trusting)
     assert not all(kept_after_a_tear(seed) for seed in range(1, 5))
--- a/tests/test_verify.py
+++ b/tests/test_verify.py
@@ -5,12 +5,12 @@
 import pytest
 from typer.testing import CliRunner
 
-from finchswitch.accord.document import succeed
-from finchswitch.accord.store import Store
+from finchswitch.control.document import succeed
+from finchswitch.control.store import Store
 from finchswitch.programs.cli import app
 from finchswitch.programs.verify import verify_folder
-from finchswitch.shelf import RealDisk
-from finchswitch.wire.real import RealWorld
+from finchswitch.storage import RealDisk
+from finchswitch.transport.real import RealWorld
 
 RUN = CliRunner()
 
@@ -30,8 +30,13 @@
     folder, store = founded
     held, wrong = verify_folder(folder)
     assert wrong == [] and held["store"] == store.store and held["fleet"] == store.fleet
-    creed = held["parts"]["creed"]
-    assert (creed["generation"], creed["step"], creed["votes"], creed["entries"]["services"]) == (1, 1, True, 1)
+    configuration = held["parts"]["creed"]
+    assert (
+        configuration["generation"],
+        configuration["step"],
+        configuration["votes"],
+        configuration["entries"]["services"],
+    ) == (1, 1, True, 1)
     answer = RUN.invoke(app, ["verify", str(folder), "--json"])
     assert answer.exit_code == 0 and json.loads(answer.stdout)["held"] == json.loads(json.dumps(held))
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -3,11 +3,11 @@
 import anyio
 import pytest
 
-from finchswitch.mishap import Mishap, MishapKind
-from finchswitch.rehearsal.scenes import open_up
-from finchswitch.relay import NewsBook
-from finchswitch.wire import Book
-from finchswitch.wire.netstring import pack
+from finchswitch.distribution import NewsBook
+from finchswitch.errors import ErrorKind, FleetError
+from finchswitch.simulation.scenes import open_up
+from finchswitch.transport import Book
+from finchswitch.transport.netstring import pack
 
 BAD = [
     b"99999999999:",
@@ -27,10 +27,10 @@
 
 @pytest.mark.parametrize("address", ["10.0.1.1:7100", "10.0.9.1:7100"])
 def test_bad_frames_close_one_connection(staged, address):
-    async def scene(theatre):
-        await open_up(theatre)
+    async def scene(cluster):
+        await open_up(cluster)
         for frame in BAD:
-            stream = await theatre.outside.dial(address, 500)
+            stream = await cluster.outside.dial(address, 500)
             await stream.send(frame)
             if frame == BAD[1]:
                 await stream.aclose()
@@ -38,29 +38,29 @@
             with anyio.fail_after(2), pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)):
                 while True:
                     await stream.receive()
-        await theatre.call(1_000, 1.0)
-        assert all(call.outcome == "complete" for call in theatre.history.calls)
+        await cluster.call(1_000, 1.0)
+        assert all(call.outcome == "complete" for call in cluster.history.calls)
 
     assert len(staged(scene).calls) > 3
 
 
 def test_an_ask_is_silent_over_a_cut_and_refused_by_a_closed_door(staged):
-    async def scene(theatre):
-        await open_up(theatre)
+    async def scene(cluster):
+        await open_up(cluster)
         async with anyio.create_task_group() as group:
-            book = Book(theatre.outside, group)
+            book = Book(cluster.outside, group)
             assert (await book.ask("10.0.1.1:7100", "peer.who", {}))["plane"] == "routing"
-            theatre.net.cut("10.0.1.1", "10.0.0.1")
-            with pytest.raises(Mishap) as silent:
+            cluster.net.cut("10.0.1.1", "10.0.0.1")
+            with pytest.raises(FleetError) as silent:
                 await book.ask("10.0.1.1:7100", "peer.who", {}, 300)
-            with pytest.raises(Mishap) as refused:
+            with pytest.raises(FleetError) as refused:
                 await book.ask("10.0.1.2:7999", "peer.who", {}, 300)
             assert (silent.value.kind, silent.value.step, silent.value.peer) == (
-                MishapKind.SILENT,
+                ErrorKind.SILENT,
                 "ask peer.who",
                 "10.0.1.1:7100",
             )
-            assert refused.value.kind is MishapKind.REFUSED
+            assert refused.value.kind is ErrorKind.REFUSED
             group.cancel_scope.cancel()
 
     staged(scene)
@@ -75,10 +75,10 @@
         b"100000:" + b"[" * 100_000 + b",",
     ]
 
-    async def scene(theatre):
+    async def scene(cluster):
         async with anyio.create_task_group() as group:
-            listener = await theatre.outside.listen("10.0.0.1:1")
-            book = Book(theatre.outside, group)
+            listener = await cluster.outside.listen("10.0.0.1:1")
+            book = Book(cluster.outside, group)
             for answer in answers:
 
                 async def bad(answer=answer):
@@ -89,10 +89,10 @@
                 group.start_soon(bad)
                 if answer is answers[0]:
                     assert await book.ask("10.0.0.1:1", "x", {}) == {}
-                    await theatre.outside.sleep(10)
+                    await cluster.outside.sleep(10)
                     book._drop("10.0.0.1:1", book._links["10.0.0.1:1"])
                     continue
-                with pytest.raises(Mishap):
+                with pytest.raises(FleetError):
                     await book.ask("10.0.0.1:1", "x", {})
             group.cancel_scope.cancel()
 
@@ -100,19 +100,19 @@
 
 
 def test_a_beat_of_the_wrong_shape_is_not_believed(staged):
-    async def scene(theatre):
-        await open_up(theatre)
-        node = theatre.actors["transit1"].node
+    async def scene(cluster):
+        await open_up(cluster)
+        node = cluster.processes["transit1"].node
         good = node.member.word(node)
         async with anyio.create_task_group() as group:
-            book = Book(theatre.outside, group)
+            book = Book(cluster.outside, group)
             for field, value in [("burden", {"x": [1]}), ("pace", {"x": "y"}), ("counts", []), ("held", {"x": 1})]:
-                with pytest.raises(Mishap):
+                with pytest.raises(FleetError):
                     await book.ask("10.0.1.2:7100", "peer.beat", {**good, "name": "liar", field: value})
             group.cancel_scope.cancel()
-        assert "liar" not in theatre.actors["transit2"].node.member.peers
-        await theatre.call(1_000, 1.0)
-        assert all(call.outcome == "complete" for call in theatre.history.calls)
+        assert "liar" not in cluster.processes["transit2"].node.member.peers
+        await cluster.call(1_000, 1.0)
+        assert all(call.outcome == "complete" for call in cluster.history.calls)
 
     staged(scene)
 
@@ -131,24 +131,24 @@
 def test_bad_news_is_a_mishap_and_changes_nothing(news):
     book = NewsBook()
     book.take("creed", 3, {"runners": {"r": {}}})
-    with pytest.raises(Mishap):
+    with pytest.raises(FleetError):
         book.take_in(news, "peer")
     assert (book.generation("creed"), book.body("creed")) == (3, {"runners": {"r": {}}})
 
 
 def test_a_vote_of_the_wrong_shape_does_not_count(staged, monkeypatch):
-    async def scene(theatre):
-        await open_up(theatre)
-        councils = {actor.name: actor.council for actor in theatre.of_kind("accord")}
-        owner = next(name for name, council in councils.items() if council.registers["creed"].owns())
+    async def scene(cluster):
+        await open_up(cluster)
+        councils = {process.name: process.control for process in cluster.of_kind("accord")}
+        owner = next(name for name, control in councils.items() if control.proposers["creed"].owns())
         twisted = {"yes": True, "promised": [99, "x"], "ballot": [0, ""], "document": []}
-        for name, council in councils.items():
+        for name, control in councils.items():
             if name != owner:
-                monkeypatch.setattr(council.store.acceptors["creed"], "prepare", lambda ballot: twisted)
-        theatre.kill(owner)
-        await theatre.outside.sleep(2_000)
-        assert not any(council.registers["creed"].owns() for name, council in councils.items() if name != owner)
+                monkeypatch.setattr(control.store.acceptors["creed"], "prepare", lambda ballot: twisted)
+        cluster.kill(owner)
+        await cluster.outside.sleep(2_000)
+        assert not any(control.proposers["creed"].owns() for name, control in councils.items() if name != owner)
         monkeypatch.undo()
-        assert (await theatre.insist({"edits": [{"kind": "services", "name": "x", "value": {}}]})).status == 200
+        assert (await cluster.insist({"edits": [{"kind": "services", "name": "x", "value": {}}]})).status == 200
 
     staged(scene)
