control: the decisions of a proposer are a pure core, apart from sending and waiting

Cause: Proposer mixed what a vote means with how long it is waited for, so nothing but a run in virtual time could exercise the decisions, and no search could save and restore them. Proposer sends, waits and holds the lock; its public names stay. The guards' tests patch the same functions at their new place.

--- a/src/finchswitch/control/control_node.py
+++ b/src/finchswitch/control/control_node.py
@@ -14,8 +14,9 @@
 from finchswitch.constants import ASK_WAIT_MS, BEAT_MS, CONTROL_SILENT_MS
 from finchswitch.control.acceptor import read_ballot
 from finchswitch.control.document import Ballot, Document, part_names
-from finchswitch.control.proposer import Proposer, majority
+from finchswitch.control.proposer import Proposer
 from finchswitch.control.replicas import Replicas
+from finchswitch.control.rounds import majority
 from finchswitch.control.store import Store
 from finchswitch.distribution import NewsBook
 from finchswitch.errors import FleetError
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -6,6 +6,7 @@
 import finchswitch.control.acceptor
 import finchswitch.control.changes
 import finchswitch.control.proposer
+import finchswitch.control.rounds
 import finchswitch.distribution.news
 import finchswitch.membership.member
 import finchswitch.membership.sessions
@@ -24,14 +25,15 @@
 
 
 def without_majority(patch):
-    patch.setattr(finchswitch.control.proposer, "majority", lambda yes, *groups: len(yes) >= 1)
+    patch.setattr(finchswitch.control.rounds, "majority", lambda yes, *groups: len(yes) >= 1)
 
 
 def without_taking_up(patch):
     elect = finchswitch.control.proposer.Proposer._elect
 
-    async def forgetful(self, known):
-        return known if await elect(self, known) is not None else None
+    async def forgetful(self, election):
+        known = election.found
+        return known if await elect(self, election) is not None else None
 
     patch.setattr(finchswitch.control.proposer.Proposer, "_elect", forgetful)
 
@@ -168,8 +170,8 @@
 
 
 def without_former_group(patch):
-    majority = finchswitch.control.proposer.majority
-    patch.setattr(finchswitch.control.proposer, "majority", lambda yes, group, former: majority(yes, group))
+    majority = finchswitch.control.rounds.majority
+    patch.setattr(finchswitch.control.rounds, "majority", lambda yes, group, former: majority(yes, group))
 
 
 def with_a_clock_that_stops(patch):
