--- a/src/finchswitch/control/elections.py
+++ b/src/finchswitch/control/elections.py
@@ -16,10 +16,10 @@
     STAND_TURN_MS,
 )
 from finchswitch.control.document import Document, succeed
+from finchswitch.control.founding import found_or_join
 from finchswitch.control.store import StoreState
 from finchswitch.errors import FleetError
 from finchswitch.logs import prefix
-from finchswitch.membership.control_peers import ControlPeer
 
 if TYPE_CHECKING:
     from finchswitch.control.control_node import ControlNode
@@ -39,7 +39,7 @@
         now_ms = control.world.now_ms()
         control.sessions.age(now_ms)
         if not control.store.fleet:
-            _found_or_join(control, now_ms)
+            found_or_join(control, now_ms)
         for each in control.sessions.own(now_ms):
             if each["state"] == "dark" and each["ageMs"] > SESSION_SILENT_MS:
                 try:
@@ -50,37 +50,6 @@
         await control.world.sleep(BEAT_MS / 4)
 
 
-def _found_or_join(control: "ControlNode", now_ms: float) -> None:
-    store, alive = control.store, control.control_peers.alive(now_ms)
-    try:
-        for control_peer in alive:
-            if control_peer.fleet and store.store in control_peer.founders:
-                return store.found(control_peer.founders)
-            if control_peer.fleet:
-                return store.join(control_peer.fleet, control_peer.founders)
-        together = sorted({store.store, *(control_peer.store for control_peer in alive)})
-        if not control.bounds.founds:
-            return
-        if len(together) == control.group_size and all(sorted(control_peer.sees) == together for control_peer in alive):
-            store.found(together)
-        elif len(together) > control.group_size and control.startup.address == control.startup.seeds[0]:
-            store.found(_spread(control, alive))  # too many to agree by sight alone: the first seed decides
-    except FleetError as error:
-        _log.error("Cannot found or join. {}", error)
-
-
-def _spread(control: "ControlNode", alive: list[ControlPeer]) -> list[str]:
-    """The founding group: this store, then one of each district in turn, seeds first."""
-    seeds, chosen, used = control.startup.seeds, [control.store.store], {control.startup.district: 1}
-    rest = sorted(alive, key=lambda control_peer: (control_peer.address not in seeds, control_peer.address))
-    while len(chosen) < control.group_size:
-        following = min(rest, key=lambda control_peer: used.get(control_peer.district, 0))
-        rest.remove(following)
-        chosen.append(following.store)
-        used[following.district] = used.get(following.district, 0) + 1
-    return chosen
-
-
 async def tend_part(control: "ControlNode", part: str) -> None:
     """One part's care, as a loop of its own."""
     proposer, world, owned_ms = control.proposers[part], control.world, control.world.now_ms()
