A document remembers 8,192 orders, and says of older ones that nobody knows

An order is now 24 characters in blocks of 64. What was dropped leaves a mark: an order built on less than it may have been taken, so it gets 504 and no refusal. The older form is read and taken over at the next change. A delta carries the last block only, and names its base under since, so that a store of the version before asks for the whole. Not covered: while processes of both versions run, an owner of the older one knows only the orders it took itself.

--- a/src/finchswitch/control/acceptor.py
+++ b/src/finchswitch/control/acceptor.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from finchswitch.constants import STORAGE_SLOW_MS
-from finchswitch.control.document import Ballot, Document, grow
+from finchswitch.control.document import Ballot, Document, builds_on, grow
 from finchswitch.errors import ErrorKind, FleetError
 from finchswitch.logs import prefix
 from finchswitch.storage import VersionedFile
@@ -66,7 +66,7 @@
         if ballot < self.promised:
             return {"yes": False, "promised": self.promised, "lacks": False}
         if delta is not None:
-            if self.document is None or self.ballot != ballot or self.document["step"] != delta["base"]:
+            if self.document is None or self.ballot != ballot or not builds_on(delta, self.document):
                 return {"yes": False, "promised": self.promised, "lacks": True}
             document = grow(self.document, delta)
         if document is None or self._store not in [*document["group"], *document["former"]]:
--- a/src/finchswitch/control/changes.py
+++ b/src/finchswitch/control/changes.py
@@ -22,6 +22,7 @@
 )
 from finchswitch.control.control_node import ControlNode
 from finchswitch.control.document import Document, digest_of, succeed
+from finchswitch.control.orders import find_order, forgotten_mark
 from finchswitch.errors import ErrorKind, FleetError
 from finchswitch.logs import prefix
 from finchswitch.transport import Message, field
@@ -96,11 +97,13 @@
     digest = digest_of([*_base(change), change.get("configuration"), change.get("edits")])
     while proposer.owns() and proposer.document is not None:
         document = proposer.document
-        for identity, known, generation in document["recent"]:
-            if identity == change["changeId"]:
-                if known != digest:
-                    return _answer(422, wrong=["changeId: used before for another change"])
-                return await _delivered(control, generation)
+        taken = find_order(document, change["changeId"], digest)
+        if taken is not None:
+            if not taken.same:
+                return _answer(422, wrong=["changeId: used before for another change"])
+            return await _delivered(control, taken.generation)
+        if _may_be_forgotten(document, change):
+            return _answer(504, reason="built on so old a base that nobody remembers whether it was taken")
         held = document["body"].get("settings", {}).get("revision", 0)
         if change.get("base", document["generation"]) != document["generation"]:
             return _answer(409, generation=document["generation"], reason="built on another generation")
@@ -129,6 +132,11 @@
     return _answer(503, reason="the owner fell before the change was proposed; surely not taken")
 
 
+def _may_be_forgotten(document: Document, change: Message) -> bool:
+    generation, revision = forgotten_mark(document)
+    return bool(change["base"] < generation if "base" in change else change["baseRevision"] < revision)
+
+
 def _base(change: Message) -> list[int]:
     return [change["base"]] if "base" in change else [-1, change["baseRevision"]]
 
--- a/src/finchswitch/control/document.py
+++ b/src/finchswitch/control/document.py
@@ -11,12 +11,14 @@
 from typing import Any
 
 from finchswitch.configuration import apply_edits, edits_between
-from finchswitch.constants import CONFIGURATION_PART, PARTS, RECENT_MOST
+from finchswitch.constants import CONFIGURATION_PART, PARTS
+from finchswitch.control.orders import grow_orders, remember, shrink_orders
 from finchswitch.errors import ErrorKind, FleetError
 
 __all__ = [
     "Ballot",
     "Document",
+    "builds_on",
     "digest_of",
     "founding_document",
     "grow",
@@ -29,6 +31,8 @@
 Ballot = tuple[int, str]
 Document = dict[str, Any]
 
+_NO_STEP = -1
+
 
 def part_names() -> list[str]:
     return [CONFIGURATION_PART, *(f"part-{at}" for at in range(PARTS))]
@@ -58,21 +62,44 @@
 
 
 def succeed(document: Document, body: Document, change: list[Any] | None, group: list[str]) -> Document:
-    """The next step of a document."""
-    recent = [*document["recent"], change][-RECENT_MOST:] if change else document["recent"]
-    generation = document["generation"] + (1 if body != document["body"] or change else 0)
-    following = {**document, "step": document["step"] + 1, "generation": generation, "body": body}
-    return {**following, "recent": recent, "group": sorted(group), "former": document["group"]}
+    """The next step of a document; a change is its id, the digest of its content and the generation it makes."""
+    changed = change is not None or body != document["body"]
+    following = {
+        **document,
+        "step": document["step"] + 1,
+        "generation": document["generation"] + (1 if changed else 0),
+        "body": body,
+        "group": sorted(group),
+        "former": document["group"],
+    }
+    if change is not None:
+        revision = body.get("settings", {}).get("revision", 0)
+        change_id, digest, made = change
+        following["orders"] = remember(document, change_id, digest, made, revision)
+        following["recent"] = []
+    return following
 
 
 def shrink(base: Document, following: Document) -> Document:
-    """What leads from one document to the next: edits, or the whole body where edits would lose its order."""
-    rest = {name: value for name, value in following.items() if name != "body"}
+    """What leads from one document to the next: edits, or the whole body where edits would lose its order.
+
+    The base stands under ``since``; ``base`` is a step that no document has, so that a process one version older,
+    which would lose the orders, asks for the whole document.
+    """
+    rest = {name: value for name, value in following.items() if name not in ("body", "orders")}
+    delta = {"base": _NO_STEP, "since": base["step"], "rest": rest}
+    if "orders" in following:
+        delta["orders"] = shrink_orders(base, following)
     edits = edits_between(base["body"], following["body"])
     grown = apply_edits(base["body"], edits).unwrap() if edits else base["body"]
     if any(list(entries) != list(grown.get(kind, {})) for kind, entries in following["body"].items()):
-        return {"base": base["step"], "rest": rest, "body": following["body"]}
-    return {"base": base["step"], "rest": rest, "edits": edits}
+        return {**delta, "body": following["body"]}
+    return {**delta, "edits": edits}
+
+
+def builds_on(delta: Document, base: Document) -> bool:
+    """Whether a delta builds on this document."""
+    return bool(delta.get("since", delta["base"]) == base["step"])
 
 
 def grow(base: Document, delta: Document) -> Document:
@@ -83,12 +110,19 @@
     >>> grow(old, shrink(old, new)) == new
     True
     """
-    if delta["base"] != base["step"]:
+    if not builds_on(delta, base):
         raise FleetError(ErrorKind.STALE, "grow", base["part"], f"base {delta['base']} is not held")
+    following = {**delta["rest"], "body": _grown_body(base, delta)}
+    if "orders" in delta:
+        following["orders"] = grow_orders(base, delta["orders"])
+    return following
+
+
+def _grown_body(base: Document, delta: Document) -> Document:
     if "body" in delta:
-        return {**delta["rest"], "body": delta["body"]}
-    body = apply_edits(base["body"], delta["edits"]).unwrap() if delta["edits"] else base["body"]
-    return {**delta["rest"], "body": body}
+        body: Document = delta["body"]
+        return body
+    return apply_edits(base["body"], delta["edits"]).unwrap() if delta["edits"] else base["body"]
 
 
 def digest_of(content: Any) -> str:
--- a/src/finchswitch/simulation/slopes_control.py
+++ b/src/finchswitch/simulation/slopes_control.py
@@ -13,9 +13,10 @@
 
 from finchswitch.configuration import apply_edits, edits_between, read_configuration
 from finchswitch.configuration.routes import RouteTable
-from finchswitch.constants import CONFIGURATION_PART
+from finchswitch.constants import CONFIGURATION_PART, ORDER_BLOCKS_MOST, ORDERS_A_BLOCK
 from finchswitch.control.control_node import ControlNode
 from finchswitch.control.document import digest_of, founding_document, shrink, succeed
+from finchswitch.control.orders import remember
 from finchswitch.control.server import answer_session
 from finchswitch.distribution import NewsBook
 from finchswitch.simulation.disk import SimDisk
@@ -149,9 +150,10 @@
         **founding_document("0123456789abcdef", CONFIGURATION_PART, ["a", "b", "c"]),
         "body": configuration_of(routes),
     }
-    base["recent"] = [[f"change-{at:08d}", "0123456789abcdef", at] for at in range(256)]
+    for at in range(ORDERS_A_BLOCK * ORDER_BLOCKS_MOST):
+        base["orders"] = remember(base, f"change-{at:08d}", "0123456789abcdef", at, 1)
     edited = apply_edits(base["body"], route_edit()).unwrap()
-    document = succeed(base, edited, ["change-1", "0123456789abcdef", 1], base["group"])
+    document = succeed(base, edited, ["change-1", "0123456789abcdef", 9_000], base["group"])
     kept = {"promised": [7, "accord-1-0123456789ab"], "ballot": [7, "accord-1-0123456789ab"], "document": document}
     with tempfile.TemporaryDirectory() as folder:
         versions = VersionedFile(RealDisk(Path(folder)), "creed")
