An answer is believed only under the id of its request; connections with bytes behind one are closed

Cause: the adapter took the request's own id for the id of an answer that bears none, so a second answer without X-Attempt-Id, in the place of the one due next, reached a client as its own. Ids that stand twice were joined to one string, and could equal an id with a comma. h11 keeps bytes that came in the same read behind a whole answer and httpcore gives the connection back to its pool with them: they began the next answer. A success or a sealed answer that says it did not run was told to the client as not run. An answer without a length looks whole when it is cut.

Ruled out: bytes that come while a connection is idle (httpcore looks whether it is readable before it uses one); a cancelled read, whose connection is closed. Both have tests that passed before.

Change: both interfaces compare the raw values of the id header with the one value that is due; what is missing, foreign or doubled has an open fate, also when it calls itself a refusal, and its connection is closed with the body unread. The pool's connections close when anything stands behind an answer, and the proof of an identity refuses such a connection before a request is on it. Numbers of pieces and nested JSON that Python will not read are clear errors.

--- a/src/finchswitch/platform/calls.py
+++ b/src/finchswitch/platform/calls.py
@@ -16,7 +16,7 @@
 from finchswitch.configuration import Repeat
 from finchswitch.configuration.routes import pick_target
 from finchswitch.platform.events import events_of
-from finchswitch.router.dialect import AttemptError, Call, Fate, Head, Headers, Piece, Refusal
+from finchswitch.router.dialect import AttemptError, Call, Fate, Head, Headers, Piece, Refusal, header_values
 from finchswitch.router.prompt import read_body
 from finchswitch.router.proof import Ticket
 from finchswitch.router.roster import Known
@@ -24,7 +24,7 @@
 if TYPE_CHECKING:
     from finchswitch.router.node import Node
 
-__all__ = ["PlatformDialect", "read_parts"]
+__all__ = ["PlatformDialect", "RequestWords", "read_parts"]
 
 _HOP = {
     b"connection",
@@ -43,7 +43,9 @@
 _REWORDED = {b"x-deadline-remaining", b"x-target-instance", b"x-urgency-level"}
 
 
-class _Words(NamedTuple):
+class RequestWords(NamedTuple):
+    """The words of a client's request that go on to the runner as they came."""
+
     method: str
     target: bytes
     headers: Headers
@@ -64,6 +66,13 @@
     return parts
 
 
+def _says_not_run(response: httpx.Response) -> bool:
+    """Whether a runner refused the request; what bears the seal of a run or a success is no refusal."""
+    if response.status_code < 400 or "x-server-seal" in response.headers:
+        return False
+    return "x-not-executed" in response.headers or response.status_code == 421
+
+
 def _whole(text: str | None) -> int | None:
     return int(float(text)) if text and text.replace(".", "", 1).isdigit() else None
 
@@ -98,7 +107,7 @@
             return Failure((request_id, Refusal(404, "no route")))
         route = configuration.routes[name]
         query = scope["query_string"]
-        words = _Words(scope["method"], raw_path + (b"?" + query if query else b""), list(scope["headers"]))
+        words = RequestWords(scope["method"], raw_path + (b"?" + query if query else b""), list(scope["headers"]))
         service = pick_target(route.targets, headers.get("x-prompt-prefix", "").rpartition(",")[0] or request_id)
         deadline_ms = _whole(headers.get("x-deadline-remaining"))
         call = Call(
@@ -119,7 +128,7 @@
         return Success(call)
 
     def request(self, call: Call, known: Known, left_ms: float, after: str | None) -> httpx.Request:
-        words: _Words = call.words
+        words: RequestWords = call.words
         gone = _HOP | _REWORDED | ({b"last-event-id"} if after is not None else set())
         headers = [each for each in words.headers if each[0] not in gone]
         headers += [
@@ -137,13 +146,17 @@
 
     def check_head(self, response: httpx.Response, known: Known, call: Call) -> Head:
         headers = response.headers
-        if headers.get("x-attempt-id", call.request_id) != call.request_id:
-            raise AttemptError(Fate.UNKNOWN, "answer", known.runner, "answered another request")
-        if "x-not-executed" in headers or response.status_code == 421:
+        if header_values(response, b"x-attempt-id") != [call.request_id.encode("latin-1", "replace")]:
+            raise AttemptError(Fate.UNKNOWN, "answer", known.runner, "not an answer to this request")
+        if _says_not_run(response):
             raise AttemptError(Fate.NOT_RUN, "answer", known.runner, f"not run: status {response.status_code}")
         whole = response.status_code < 300 and "x-server-seal" in headers and "content-encoding" not in headers
         if response.status_code < 300 and not whole:
             raise AttemptError(Fate.UNKNOWN, "answer", known.runner, "a success without its seal")
+        if "x-not-executed" in headers:
+            raise AttemptError(Fate.UNKNOWN, "answer", known.runner, "an answer of a run that says it did not run")
+        if not ("content-length" in headers or "transfer-encoding" in headers):
+            raise AttemptError(Fate.UNKNOWN, "answer", known.runner, "its end could not be told from a cut")
         if response.status_code in _PROMISES or (response.status_code >= 500 and (call.repeatable or call.resumable)):
             raise AttemptError(Fate.UNKNOWN, "answer", known.runner, f"status {response.status_code}")
         kept = [(name, value) for name, value in headers.raw if name.lower() not in _HOP]
--- a/src/finchswitch/router/dialect.py
+++ b/src/finchswitch/router/dialect.py
@@ -20,7 +20,7 @@
     from finchswitch.router.proof import Ticket
     from finchswitch.router.roster import Known
 
-__all__ = ["Call", "Dialect", "Fate", "Head", "Headers", "Piece", "Refusal", "AttemptError"]
+__all__ = ["AttemptError", "Call", "Dialect", "Fate", "Head", "Headers", "Piece", "Refusal", "header_values"]
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -87,6 +87,15 @@
     at: str | None = None
 
 
+def header_values(response: httpx.Response, name: bytes) -> list[bytes]:
+    """Every value of a header as it came, so that one that is missing or stands twice is not taken for another.
+
+    >>> header_values(httpx.Response(200, headers=[("x-id", "a"), ("X-Id", "b")]), b"x-id")
+    [b'a', b'b']
+    """
+    return [value for each, value in response.headers.raw if each.lower() == name]
+
+
 class Dialect(Protocol):
     kept: bool  # whether requests go over kept connections; then each proves by itself whom it means
 
--- a/src/finchswitch/router/own.py
+++ b/src/finchswitch/router/own.py
@@ -14,9 +14,9 @@
 from returns.result import Failure, Result, Success
 from starlette.requests import Request
 
-from finchswitch.constants import ASK_WAIT_MS
+from finchswitch.constants import ASK_WAIT_MS, PIECE_DIGITS_MOST
 from finchswitch.errors import ErrorKind, FleetError
-from finchswitch.router.dialect import AttemptError, Call, Fate, Head, Headers, Piece, Refusal
+from finchswitch.router.dialect import AttemptError, Call, Fate, Head, Headers, Piece, Refusal, header_values
 from finchswitch.router.prompt import read_prompt
 from finchswitch.router.proof import Ticket
 from finchswitch.router.roster import Known
@@ -40,15 +40,16 @@
         return httpx.Request("POST", url, content=call.body, headers=headers)
 
     def check_head(self, response: httpx.Response, known: Known, call: Call) -> Head:
-        shown = (response.headers.get("x-runner"), response.headers.get("x-incarnation"))
-        if shown != (known.runner, known.incarnation):
-            raise AttemptError(Fate.UNKNOWN, "answer", known.runner, f"answered as {shown}")
-        if response.headers.get("x-request-id") != call.request_id:
-            raise AttemptError(Fate.UNKNOWN, "answer", known.runner, "answered another request")
+        due = {b"x-runner": known.runner, b"x-incarnation": known.incarnation, b"x-request-id": call.request_id}
+        for name, value in due.items():
+            if header_values(response, name) != [value.encode("latin-1", "replace")]:
+                raise AttemptError(Fate.UNKNOWN, "answer", known.runner, f"{name.decode()} is not that of this request")
+        refused = response.headers.get("x-outcome") == Fate.NOT_RUN.value
         if response.status_code != 200:
-            refused = response.headers.get("x-outcome") == Fate.NOT_RUN.value
             fate = Fate.NOT_RUN if refused else Fate.UNKNOWN
             raise AttemptError(fate, "answer", known.runner, f"status {response.status_code}")
+        if refused:
+            raise AttemptError(Fate.UNKNOWN, "answer", known.runner, "a success that says it did not run")
         return Head(str(response.headers.get("x-weights", "")))
 
     async def pieces(self, response: httpx.Response, known: Known, call: Call) -> AsyncGenerator[Piece, None]:
@@ -110,13 +111,14 @@
         async for event in EventSource(response).aiter_sse():
             if event.data == "[DONE]":
                 return
-            if event.id.isdigit():
-                if not _follows(int(event.id), number):
-                    raise AttemptError(Fate.UNKNOWN, "stream", known.runner, f"piece {event.id} after {number}")
-                number = int(event.id)
+            given = _piece_number(event.id, known)
+            if given is not None:
+                if not _follows(given, number):
+                    raise AttemptError(Fate.UNKNOWN, "stream", known.runner, f"piece {given} after {number}")
+                number = given
             try:
                 content = json.loads(event.data)
-            except ValueError:
+            except (ValueError, RecursionError):
                 raise AttemptError(Fate.UNKNOWN, "stream", known.runner, "a piece is not JSON") from None
             if not isinstance(content, dict) or not isinstance(content.get("choices"), list):
                 raise AttemptError(Fate.UNKNOWN, "stream", known.runner, "a piece without choices")
@@ -126,6 +128,15 @@
     raise AttemptError(Fate.UNKNOWN, "stream", known.runner, "ended before [DONE]")
 
 
+def _piece_number(event_id: str, known: Known) -> int | None:
+    """The number of a piece, where the runner gives one."""
+    if not (event_id.isascii() and event_id.isdigit()):
+        return None
+    if len(event_id) > PIECE_DIGITS_MOST:
+        raise AttemptError(Fate.UNKNOWN, "stream", known.runner, "a piece whose number is too long")
+    return int(event_id)
+
+
 def _follows(number: int, before: int | None) -> bool:
     return before is None or number == before + 1
 
--- a/src/finchswitch/router/proof.py
+++ b/src/finchswitch/router/proof.py
@@ -89,9 +89,12 @@
                     body += bytes(event.data)
                 else:
                     break
+            behind, _ = connection.trailing_data
+            if behind:
+                raise FleetError(ErrorKind.BROKEN, "proof", address, "bytes behind the answer, which belong to nobody")
             connection.start_next_cycle()
             answer = json.loads(body)
-        except (h11.ProtocolError, ValueError) as wrong:
+        except (h11.ProtocolError, ValueError, RecursionError) as wrong:
             raise FleetError(ErrorKind.BROKEN, "proof", address, repr(wrong)) from None
         if status != 200 or not isinstance(answer, dict):
             raise FleetError(ErrorKind.REFUSED, "proof", address, f"status {status}")
--- a/src/finchswitch/transport/client.py
+++ b/src/finchswitch/transport/client.py
@@ -67,6 +67,37 @@
         return bool(poll.poll(0))
 
 
+class _Http11Connection(httpcore.AsyncHTTP11Connection):
+    """A connection that is not kept once anything came behind a whole answer: such bytes belong to no request."""
+
+    async def _response_closed(self) -> None:
+        behind, ended = self._h11_state.trailing_data
+        if behind or ended:
+            await self.aclose()
+        else:
+            await super()._response_closed()
+
+
+class _Connection(httpcore.AsyncHTTPConnection):
+    """A connection of the pool, over HTTP/1.1 alone."""
+
+    async def handle_async_request(self, request: httpcore.Request) -> httpcore.Response:
+        try:
+            async with self._request_lock:
+                if self._connection is None:
+                    stream = await self._connect(request)
+                    self._connection = _Http11Connection(origin=self._origin, stream=stream)
+        except BaseException:
+            self._connect_failed = True
+            raise
+        return await self._connection.handle_async_request(request)
+
+
+class _Pool(httpcore.AsyncConnectionPool):
+    def create_connection(self, origin: httpcore.Origin) -> httpcore.AsyncConnectionInterface:
+        return _Connection(origin, network_backend=self._network_backend)
+
+
 class _Backend(httpcore.AsyncNetworkBackend):
     def __init__(self, dialer: Dialer, proof: Proof | None) -> None:
         self._dialer, self._proof = dialer, proof
@@ -110,7 +141,7 @@
     """
     kept = 0 if fresh else KEPT_CONNECTIONS
     transport = httpx.AsyncHTTPTransport(verify=False, trust_env=False)  # its own pool is replaced; no TLS here
-    transport._pool = httpcore.AsyncConnectionPool(  # the one seam httpx leaves for a network backend
+    transport._pool = _Pool(  # the one seam httpx leaves for a network backend
         max_connections=None,
         max_keepalive_connections=kept,
         network_backend=_Backend(dialer, proof),
