--- a/src/finchswitch/programs/cli.py
+++ b/src/finchswitch/programs/cli.py
@@ -13,6 +13,8 @@
 import typer
 from returns.result import Failure
 
+from finchswitch.days.command import write_days
+from finchswitch.days.shapes import Shape
 from finchswitch.errors import FleetError, causes_of
 from finchswitch.logs import to_stderr
 from finchswitch.programs import operate, stand_ins
@@ -196,5 +198,17 @@
     raise typer.Exit(run_scale(nodes, seed, peers))
 
 
+@app.command()
+def days(
+    kinds: Annotated[Path, typer.Argument(help="The printed list of the kinds of trouble of a deployment.")],
+    out: Annotated[Path, typer.Option(help="The folder to write the days into, one TOML file a day.")],
+    shape: Annotated[Shape, typer.Option(help="What a day is made of.")] = Shape.ALL,
+    seed: Annotated[int, typer.Option(help="The seed; the same seed writes the same days.")] = 1,
+    count: Annotated[int, typer.Option(min=1, help="How many days.")] = 10,
+) -> None:
+    """Write days of trouble for a deployment's test bench, made of the kinds that it lists."""
+    raise typer.Exit(write_days(kinds, out, shape, seed, count))
+
+
 def main() -> None:
     app()
