--- a/src/finchswitch/days/toml.py
+++ b/src/finchswitch/days/toml.py
@@ -31,7 +31,7 @@
 
 def _entries(name: str, troubles: list[Trouble]) -> list[str]:
     in_order = sorted(troubles, key=lambda trouble: trouble.at_s)
-    rows = [f"  {_table({'at': each.at_s, 'kind': each.kind, **each.fields})}," for each in in_order]
+    rows = [f"  {_table({'at': round(each.at_s, 2), 'kind': each.kind, **each.fields})}," for each in in_order]
     return [f"{name} = [", *rows, "]"]
 
 
