--- a/src/finchswitch/days/shapes.py
+++ b/src/finchswitch/days/shapes.py
@@ -52,8 +52,10 @@
     plain = [each for each in Shape if each is not Shape.ALL]
     for number in range(count):
         rng = random.Random(f"{shape} {seed} {number}")
-        chosen = plain[number % len(plain)] if shape is Shape.ALL else shape
-        yield _draw_day(rng, kinds, chosen, f"{chosen}-{seed}-{number}", number)
+        # Of all shapes in turn, each goes through its own kinds without leaving any out.
+        turns, place = divmod(number, len(plain)) if shape is Shape.ALL else (number, 0)
+        chosen = plain[place] if shape is Shape.ALL else shape
+        yield _draw_day(rng, kinds, chosen, f"{chosen}-{seed}-{number}", turns)
 
 
 def _draw_day(rng: random.Random, kinds: tuple[Kind, ...], shape: Shape, name: str, number: int) -> Day:
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -105,6 +105,11 @@
     assert seen == set(BY_NAME)
 
 
+def test_all_shapes_in_turn_still_take_every_kind_alone():
+    days = [day for day in draw_days(KINDS, Shape.ALL, 7, 5 * len(KINDS)) if day.name.startswith("alone")]
+    assert {trouble.kind for day in days for trouble in day.troubles} == set(BY_NAME)
+
+
 def test_pairs_bring_every_kind_together_with_every_control_trouble():
     controls = available_control_troubles(BY_NAME)
     pairs = set()
