Only the wait for a piece is cancelled, never its passing on: an answer taken up elsewhere loses none

Cause: the watch over silent runners cancelled the whole try. A piece that came in the same step was counted as passed on and lost on its way to the caller (hypercorn frames it, then waits for its lock, where the cancellation strikes), and the answer was taken up behind it: a piece is missing from a stream that looks whole. A freeze makes this likely, as the watch and all that came meanwhile wake in one step.

Change: each wait for a piece has its own cancel scope. A limit on the whole answer still cuts it, and a cut answer is never taken up.

--- a/src/finchswitch/router/call.py
+++ b/src/finchswitch/router/call.py
@@ -5,7 +5,9 @@
 behind the last piece that was passed on, inside the same answer.
 """
 
+from collections.abc import AsyncGenerator
 from contextlib import aclosing
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 import anyio
@@ -15,8 +17,10 @@
 from finchswitch.constants import RETRY_AFTER_LEAST_S, RETRY_AFTER_MOST_S
 from finchswitch.logs import prefix
 from finchswitch.router.attempt import answer_of
-from finchswitch.router.dialect import AttemptError, Call, Dialect, Fate, Head, Headers, Refusal
+from finchswitch.router.dialect import AttemptError, Call, Dialect, Fate, Head, Headers, Piece, Refusal
 from finchswitch.router.proof import Ticket
+from finchswitch.router.seat import Seat
+from finchswitch.router.watch import Watched
 
 if TYPE_CHECKING:
     from finchswitch.router.node import Node
@@ -44,6 +48,12 @@
         self.head = head
         await _start(self._node, self._send, status, headers)
 
+    async def pass_on(self, piece: Piece) -> None:
+        """Pass a piece on; it counts as passed on before it is, so that no cancellation makes it come twice."""
+        self.pieces += 1
+        self.at = piece.at or self.at
+        await self.go_on(piece.data)
+
     async def go_on(self, data: bytes, more: bool = True) -> None:
         await self._send({"type": "http.response.body", "body": data, "more_body": more})
 
@@ -131,34 +141,54 @@
     left_ms = began_ms + limit_ms - node.world.now_ms()
     reason = "longer than its caller waits" if call.limit_ms else "longer than answerMostMs allows"
     with anyio.move_on_after(left_ms / 1000) as scope:
-        watched, begun = node.watch.begin(known, call, drawn.first_ms, scope), False
+        watched = node.watch.begin(known, call, drawn.first_ms)
+        attempt = _Attempt(node, dialect, drawn, ticket, seat, watched, flow)
         try:
             async with aclosing(answer_of(node, dialect, known, call, ticket, due_ms, left_ms, flow.at)) as answer:
-                async for head, piece in answer:
-                    if not begun:
-                        begun = True
-                        seat.begun(head.weights)
-                        if flow.head is not None and (head.failed or head.status != flow.head.status):
-                            raise AttemptError(Fate.UNKNOWN, "answer", known.runner, "does not take the answer up")
-                        if flow.head is None:
-                            status, headers = dialect.opened(call, head, ticket, drawn.way.value)
-                            await flow.begin(head, status, headers)
-                    watched.heard(node.world.now_ms())
-                    if piece is not None:
-                        flow.pieces += 1
-                        flow.at = piece.at or flow.at
-                        await flow.go_on(piece.data)
+                await attempt.pass_pieces(answer)
         finally:
             node.watch.end(watched)
             seat.free()
-    if watched.given_up:
-        raise AttemptError(Fate.UNKNOWN, "silence", known.runner, "nothing came from it")
     if scope.cancelled_caught:
         raise AttemptError(Fate.UNKNOWN, "limit", known.runner, reason)
     node.vitals["complete"] += 1
     await flow.go_on(b"", more=False)
 
 
+@dataclass(frozen=True)
+class _Attempt:
+    """One try under way, and the answer to the caller that it is part of."""
+
+    node: "Node"
+    dialect: Dialect
+    drawn: Drawn
+    ticket: Ticket
+    seat: Seat
+    watched: Watched
+    flow: _Flow
+
+    async def pass_pieces(self, answer: AsyncGenerator[tuple[Head, Piece | None], None]) -> None:
+        """Pass the pieces of the runner's answer on as they come, to its end."""
+        begun = False
+        while (came := await self.watched.next_of(answer, self.node.world.now_ms())) is not None:
+            head, piece = came
+            self.watched.heard(self.node.world.now_ms())
+            if not begun:
+                begun = True
+                self.seat.begun(head.weights)
+                await self._open(head)
+            if piece is not None:
+                await self.flow.pass_on(piece)
+
+    async def _open(self, head: Head) -> None:
+        """Begin the answer to the caller, or see that this one takes the begun answer up."""
+        if self.flow.head is None:
+            status, headers = self.dialect.opened(self.watched.call, head, self.ticket, self.drawn.way.value)
+            await self.flow.begin(head, status, headers)
+        elif head.failed or head.status != self.flow.head.status:
+            raise AttemptError(Fate.UNKNOWN, "answer", self.ticket.runner, "does not take the answer up")
+
+
 async def _end(node: "Node", dialect: Dialect, send: Send, request_id: str, refusal: Refusal, fate: Fate) -> None:
     """A final answer without pieces, at once; whoever may come back is told when."""
     node.vitals[fate.value] += 1
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -58,6 +58,12 @@
     return Call("id", "s", False, opening, b"", due_ms=400.0, gap_ms=200.0, resumable=resumable, most_runners=2)
 
 
+def awaiting(watched):
+    """A try whose next piece is awaited."""
+    watched.wait = Scope()
+    return watched
+
+
 def judged(node, watch):
     """One look, as the loop does it."""
     for each in list(watch._tries):
@@ -67,7 +73,7 @@
 def test_an_answer_that_waits_at_a_runner_which_speaks_to_others_is_not_given_up():
     node, runner = Watching(), Runner()
     watch = Watch(node)
-    waits = watch.begin(runner, call(), 50.0, Scope())
+    waits = awaiting(watch.begin(runner, call(), 50.0))
     for at in range(40):
         node.world.ms = at * 100.0
         runner.heard(node.world.ms)
@@ -78,21 +84,21 @@
 def test_a_silent_runner_is_doubted_and_a_resumable_answer_taken_from_it():
     node, runner = Watching(), Runner()
     watch = Watch(node)
-    resumable, unsafe = (watch.begin(runner, call(kind), 50.0, Scope()) for kind in (True, False))
+    resumable, unsafe = (awaiting(watch.begin(runner, call(kind), 50.0)) for kind in (True, False))
     node.world.ms = 500.0
     judged(node, watch)
     assert not node.doubted
     node.world.ms = 700.0
     judged(node, watch)
     assert node.doubted == [runner]
-    assert resumable.given_up and resumable.scope.cancel_called
-    assert not unsafe.given_up and not unsafe.scope.cancel_called
+    assert resumable.given_up and resumable.wait.cancel_called
+    assert not unsafe.given_up and not unsafe.wait.cancel_called
 
 
 def test_without_budget_a_silent_answer_waits_on():
     node = Watching(budget=0)
     watch = Watch(node)
-    waits = watch.begin(Runner(), call(), 50.0, Scope())
+    waits = awaiting(watch.begin(Runner(), call(), 50.0))
     node.world.ms = 5_000.0
     judged(node, watch)
     assert node.doubted and not waits.given_up
