--- a/src/finchswitch/control/proposer.py
+++ b/src/finchswitch/control/proposer.py
@@ -123,6 +123,14 @@
                 raise FleetError(ErrorKind.LOST, "commit", self.part, "outvoted meanwhile")
             self.document = following
 
+    async def settled(self) -> Document | None:
+        """The document of this owner at a moment when no commit is under way; None if it does not own.
+
+        Where ``check``, begun after this, succeeds, no newer document was committed anywhere at that moment.
+        """
+        async with self._lock:
+            return self.document if self.owns() else None
+
     async def check(self) -> bool:
         """Whether a majority still holds this owner's ballot as the highest promised."""
         document, ballot = self.document, self.ballot
