--- a/src/finchswitch/simulation/history.py
+++ b/src/finchswitch/simulation/history.py
@@ -109,10 +109,13 @@
 
 @dataclass
 class Read:
-    """One read of the configuration that was said to be current."""
+    """One read of the configuration that was said to be current, or that got no such answer."""
 
     sent_ms: float
     generation: int
+    answered_ms: float = float("inf")
+    digest: str = ""  # of the content read, where it was noted
+    unanswered: bool = False
 
 
 @dataclass
