Every simulated run records operators' writes and reads and judges them as one register

Cause: scenes and storms judged single points of operators' answers; a refusal that was not true passed. Change: operator_client.py records each sending and each confirmed read; the check runs with the other checkers at the end of each scene; scenes end with a confirmed read of the whole content. operator_storms.py adds nine runs of many operators on the control nodes: races, orders sent again at once, later, after hundreds of others and up to eight times under way, reads in between, with falls of the owner, cuts of 20 s, freezes, wipes and lost answers. A test changed: the history of test_a_sound_history_passes had a refusal as stale of the base that was in force, and no write on base 0. It was not sound; the new one has the refusal on a base that was over.

--- a/src/finchswitch/simulation/checkers.py
+++ b/src/finchswitch/simulation/checkers.py
@@ -18,6 +18,12 @@
     CLOCK_SLACK_MS,
 )
 from finchswitch.simulation.allowance import allowed_since, bound_spans
+from finchswitch.simulation.checkers_changes import (
+    changes_exclusive,
+    operators_linearizable,
+    reads_current,
+    refused_without_effect,
+)
 from finchswitch.simulation.history import History, Sight
 
 __all__ = ["CHECKERS", "judge"]
@@ -124,40 +130,6 @@
     return breaches
 
 
-def changes_exclusive(history: History) -> list[str]:
-    """One winner a base; each acknowledged change has a generation of its own."""
-    breaches = []
-    taken = [change for change in history.changes if change.status in (200, 202)]
-    distinct = {change.change_id: change for change in taken}.values()
-    for base, count in Counter(change.base for change in distinct).items():
-        if count > 1:
-            breaches.append(f"{count} changes on base {base} were accepted")
-    for generation, count in Counter(change.generation for change in distinct).items():
-        if count > 1:
-            breaches.append(f"generation {generation} was given to {count} changes")
-    return breaches
-
-
-def reads_current(history: History) -> list[str]:
-    """A read said to be current shows whatever was acknowledged before it was sent."""
-    breaches = []
-    for read in history.reads:
-        known = [c.generation for c in history.changes if c.status in (200, 202) and c.answered_ms <= read.sent_ms]
-        if read.generation < max(known, default=0):
-            breaches.append(f"a current read showed {read.generation} after {max(known)} was acknowledged")
-    return breaches
-
-
-def refused_without_effect(history: History) -> list[str]:
-    refused = {c.mark for c in history.changes if c.mark and c.status in (400, 409, 413, 422, 503)}
-    taken = {c.mark for c in history.changes if c.mark and c.status in (200, 202)}
-    shown = {mark for _, _, mark in history.marks}
-    breaches = [f"refused change {mark} took effect" for mark in sorted((refused - taken) & shown)]
-    if history.marks:
-        breaches += [f"acknowledged change {mark} is forgotten" for mark in sorted(taken - shown)]
-    return breaches
-
-
 def planned_cuts_nothing(history: History) -> list[str]:
     """A stream breaks only while its runner or its node was made to fail, or when its caller left."""
     breaches = []
@@ -236,6 +208,7 @@
     "never-back": never_back,
     "changes-exclusive": changes_exclusive,
     "reads-current": reads_current,
+    "operators-linearizable": operators_linearizable,
     "refused-without-effect": refused_without_effect,
     "planned-cuts-nothing": planned_cuts_nothing,
     "tries-within": tries_within,
--- a/src/finchswitch/simulation/operated.py
+++ b/src/finchswitch/simulation/operated.py
@@ -5,7 +5,8 @@
 
 import httpx
 
-from finchswitch.simulation.history import Change, History
+from finchswitch.simulation.history import Change, History, Read
+from finchswitch.simulation.operator_client import OperatorClient
 from finchswitch.simulation.world import SimWorld
 
 __all__ = ["Operated"]
@@ -30,17 +31,18 @@
         """Send one change to one control node; its fate may stay open."""
         self.changes += 1
         change = Change(fixed.get("change_id", f"c{self.changes}"), base, self.now_ms(), mark=mark, content=content)
-        self.history.changes.append(change)
-        host = self.processes[at or self.chance.choice(self.of_kind("accord")).name].host
-        body = {"changeId": change.change_id, "base": base, "again": fixed.get("again", False), **content}
-        try:
-            async with httpx.AsyncClient(transport=self.outside.http_transport(), timeout=8) as client:
-                response = await client.post(f"http://{host}:8000/v1/changes", json=body)
-            change.status, change.generation = response.status_code, response.json().get("generation", -1)
-        except (httpx.HTTPError, ValueError):
-            change.status = 0
-        change.answered_ms = self.now_ms()
-        return change
+        async with httpx.AsyncClient(transport=self.outside.http_transport(), timeout=8) as client:
+            operator = OperatorClient(client, self.history, self.now_ms)
+            return await operator.send(self._operator_address(at), change, fixed.get("again", False))
+
+    async def read_confirmed(self, at: str = "") -> Read:
+        """Read the configuration as a majority confirms it, at one control node."""
+        async with httpx.AsyncClient(transport=self.outside.http_transport(), timeout=2) as client:
+            return await OperatorClient(client, self.history, self.now_ms).read(self._operator_address(at))
+
+    def _operator_address(self, at: str) -> str:
+        name = at or self.chance.choice(self.of_kind("accord")).name
+        return f"{self.processes[name].host}:8000"
 
     async def insist(self, content: dict[str, Any], mark: str = "", most_ms: float = 20_000) -> Change:
         """Send a change until it is taken, as a patient operator would."""
--- a/src/finchswitch/simulation/scenes.py
+++ b/src/finchswitch/simulation/scenes.py
@@ -73,6 +73,7 @@
     last = [call for call in cluster.history.calls if "-last-" in call.request_id]
     good = sum(call.outcome == "complete" for call in last)
     expect(cluster, good >= 0.7 * len(last), f"service at the end: {good} of {len(last)}")
+    await cluster.read_confirmed()
     read_back(cluster, final.generation)
 
 
--- a/src/finchswitch/simulation/storms.py
+++ b/src/finchswitch/simulation/storms.py
@@ -7,14 +7,12 @@
 from typing import Any
 
 import anyio
-import httpx
 
 from finchswitch.constants import CONFIGURATION_PART, STORM_MS, STORM_OPERATORS
 from finchswitch.simulation.cluster import Cluster
-from finchswitch.simulation.history import Read
 from finchswitch.simulation.scenes import Scene, expect, mark_edit, read_back
 
-__all__ = ["STORMS"]
+__all__ = ["STORMS", "close_storm"]
 
 
 async def _operate(cluster: Cluster, who: int) -> None:
@@ -34,19 +32,13 @@
 
 
 async def _read(cluster: Cluster) -> None:
-    async with httpx.AsyncClient(transport=cluster.outside.http_transport(), timeout=2) as client:
-        while cluster.now_ms() < STORM_MS:
-            host, sent_ms = cluster.chance.choice(cluster.of_kind("accord")).host, cluster.now_ms()
-            try:
-                answer = await client.get(f"http://{host}:8000/v1/configuration?current=true")
-                if answer.status_code == 200:
-                    cluster.history.reads.append(Read(sent_ms, answer.json()["generation"]))
-            except httpx.HTTPError:
-                pass
-            await cluster.outside.sleep(cluster.chance.uniform(5, 100))
+    while cluster.now_ms() < STORM_MS:
+        await cluster.read_confirmed()
+        await cluster.outside.sleep(cluster.chance.uniform(5, 100))
 
 
-async def _close(cluster: Cluster) -> None:
+async def close_storm(cluster: Cluster) -> None:
+    """Mend everything, see that a change is taken, and read what stands then."""
     cluster.net.heal_all()
     for process in cluster.of_kind("accord"):
         cluster.machine(process.name).thaw()
@@ -57,6 +49,7 @@
     final = await cluster.insist(mark_edit("mark-final"), "mark-final")
     expect(cluster, final.status == 200, "a change is taken at the end")
     await cluster.outside.sleep(1_000)
+    await cluster.read_confirmed()
     read_back(cluster, final.generation)
 
 
@@ -69,7 +62,7 @@
         while cluster.now_ms() < STORM_MS:
             await cluster.outside.sleep(cluster.chance.uniform(20, 1_500))
             await fault(cluster)
-    await _close(cluster)
+    await close_storm(cluster)
 
 
 async def _kill(cluster: Cluster) -> None:
@@ -144,7 +137,7 @@
     async with anyio.create_task_group() as group:
         for at in (owner, "accord4", first, second):
             group.start_soon(_operate_at, cluster, at)
-    await _close(cluster)
+    await close_storm(cluster)
 
 
 async def _operate_at(cluster: Cluster, at: str) -> None:
--- a/src/finchswitch/simulation/sweep.py
+++ b/src/finchswitch/simulation/sweep.py
@@ -14,13 +14,15 @@
 from finchswitch.simulation.checkers import judge
 from finchswitch.simulation.deployments import CORE, VILLAGE, Deployment
 from finchswitch.simulation.history import History
+from finchswitch.simulation.operator_storms import OPERATOR_STORMS
 from finchswitch.simulation.play import play
 from finchswitch.simulation.scenes import SCENES
 from finchswitch.simulation.storms import STORMS
 
 __all__ = ["ALL", "faults_of", "perform"]
 
-ALL = [*SCENES, *STORMS]
+ON_THE_CORE = {**STORMS, **OPERATOR_STORMS}  # scenes of the control nodes alone
+ALL = [*SCENES, *ON_THE_CORE]
 
 
 def faults_of(history: History) -> list[str]:
@@ -32,8 +34,8 @@
 
 def perform(name: str, seed: int, deployment: Deployment = VILLAGE) -> tuple[History, list[str]]:
     """One scene under one seed; storms on the core have no deployment."""
-    if name in STORMS:
-        history = play(STORMS[name], CORE, seed)
+    if name in ON_THE_CORE:
+        history = play(ON_THE_CORE[name], CORE, seed)
     else:
         history = play(SCENES[name], deployment, seed)
     return history, faults_of(history)
--- a/tests/test_checkers.py
+++ b/tests/test_checkers.py
@@ -54,6 +54,7 @@
     "never-back": history_of(whole_call(1, generation=2), whole_call(2, generation=1)),
     "changes-exclusive": History(changes=[change_of("x", 1, 200, 2), change_of("y", 1, 202, 3)]),
     "reads-current": History(changes=[change_of("x", 1, 200, 2, 100.0)], reads=[Read(200.0, 1)]),
+    "operators-linearizable": History(changes=[change_of("x", 0, 409, 0, 100.0)]),
     "refused-without-effect": History(changes=[change_of("x", 1, 409, -1)], marks=[("t1", 2, "x")]),
     "planned-cuts-nothing": history_of(whole_call(done=False, outcome="unknown")),
     "tries-within": history_of(*(whole_call(n) for n in range(1, 9)), runs=[run_of(ONE) for _ in range(40)]),
@@ -128,7 +129,7 @@
 
 
 def test_a_sound_history_passes():
-    changes = [change_of("x", 1, 200, 2, 100.0), change_of("y", 2, 409, -1, 200.0)]
+    changes = [change_of("w", 0, 200, 1), change_of("x", 1, 200, 2, 100.0), change_of("y", 1, 409, 2, 200.0)]
     calls = [whole_call(n, generation=2) for n in range(3, 6)]
     assert judge(history_of(*calls, changes=changes, marks=[("t1", 2, "x")])) == {}
 
