--- a/tests/test_checkers.py
+++ b/tests/test_checkers.py
@@ -131,7 +131,7 @@
 def test_a_sound_history_passes():
     changes = [change_of("w", 0, 200, 1), change_of("x", 1, 200, 2, 100.0), change_of("y", 1, 409, 2, 200.0)]
     calls = [whole_call(n, generation=2) for n in range(3, 6)]
-    assert judge(history_of(*calls, changes=changes, marks=[("t1", 2, "x")])) == {}
+    assert judge(history_of(*calls, changes=changes, marks=[("t1", 2, "w"), ("t1", 2, "x")])) == {}
 
 
 def test_forgotten_and_looking_complete():
