--- a/tests/test_shared_state.py
+++ b/tests/test_shared_state.py
@@ -137,7 +137,7 @@
 def test_what_a_newer_version_wrote_is_left_as_it_is(tmp_path, monkeypatch):
     world, disk = StillWorld(), RealDisk(tmp_path)
     Store(world, disk, "n").found(["x", "y", "z"])
-    monkeypatch.setattr(finchswitch.versions, "SHELF_FORMAT", 2)
+    monkeypatch.setattr(finchswitch.storage, "STORAGE_FORMAT", 2)
     VersionedFile(disk, "part-1").put({"promised": [9, "x"], "ballot": [0, ""], "document": None})
     before = {file: file.read_bytes() for file in sorted(tmp_path.rglob("*.json"))}
     with pytest.raises(FleetError) as error:
