What comes from outside is read or ends in a clear error; numbers of events rise within an answer

Cause, each shown by a call before the change: a deadline of 400 digits raised OverflowError, "\xb2" as a count of tokens (isdigit, yet no number for int) and a count of 5,000 digits raised ValueError out of the reading of a request; a list with an infinite capacity or an address such as "xn--:1" raised out of the reading of the list or, later, out of the wording of a request. A runner that takes an answer up from its start, or gives a body that is no stream, had its pieces put behind those of another run; an event without a number was passed on and came again when the answer was taken up behind the one before it. An event without an end was kept without a bound. A deadline of 0 ms counted as none.

Change: one reading of counts, of event numbers and of addresses, each bounded; events whose numbers do not rise above the last one passed on end the attempt; an answer is taken up only behind an event with a number. A request with two ids is refused. A report is read only from a 200 without an attempt's id.

--- a/src/finchswitch/constants.py
+++ b/src/finchswitch/constants.py
@@ -66,6 +66,7 @@
 VITALS_POLL_MS: Final = 500  # runners report late anyway; faster reading shows nothing new
 VITALS_OLD_MS: Final = 3_000  # a report older than this no longer counts
 PIECE_DIGITS_MOST: Final = 18  # a piece's number fits in 64 bits; Python refuses to read a very long one
+EVENT_MOST_BYTES: Final = 1_048_576  # an event holds a few tokens; one without an end must not fill the memory
 PROOF_WAIT_MS: Final = 1_000  # connecting and proving an identity
 RUNNER_SILENT_MS: Final = 10_000  # between pieces; a runner dark for this long is an error
 FORGET_MS: Final = 60_000  # what is unlisted or silent this long is forgotten, so that memory stays bounded
--- a/src/finchswitch/platform/calls.py
+++ b/src/finchswitch/platform/calls.py
@@ -5,6 +5,7 @@
 """
 
 import hashlib
+import re
 from collections.abc import AsyncGenerator
 from typing import TYPE_CHECKING, Any, NamedTuple
 
@@ -15,7 +16,9 @@
 from finchswitch.affinity import Opening
 from finchswitch.configuration import Repeat
 from finchswitch.configuration.routes import pick_target
-from finchswitch.platform.events import events_of
+from finchswitch.constants import SLOTS_MOST
+from finchswitch.errors import ErrorKind, FleetError
+from finchswitch.platform.events import EventError, events_of
 from finchswitch.router.dialect import AttemptError, Call, Fate, Head, Headers, Piece, Refusal, header_values
 from finchswitch.router.prompt import read_body
 from finchswitch.router.proof import Ticket
@@ -24,7 +27,7 @@
 if TYPE_CHECKING:
     from finchswitch.router.node import Node
 
-__all__ = ["PlatformDialect", "RequestWords", "read_parts"]
+__all__ = ["PlatformDialect", "RequestWords", "read_count", "read_parts", "read_report"]
 
 _HOP = {
     b"connection",
@@ -40,6 +43,7 @@
     b"expect",
 }
 _PROMISES = (408, 429, 503)  # said to a client they mean 'not run', which only a runner's own word may say
+_COUNT = re.compile(r"([0-9]{1,18})(?:\.[0-9]*)?")
 _REWORDED = {b"x-deadline-remaining", b"x-target-instance", b"x-urgency-level"}
 
 
@@ -60,9 +64,10 @@
     parts = []
     for each in text.split(",") if text else []:
         name, _, tokens = each.strip().partition(":")
-        if not tokens.isdigit():
+        count = read_count(tokens)
+        if count is None:
             return []
-        parts.append((name, int(tokens)))
+        parts.append((name, count))
     return parts
 
 
@@ -73,13 +78,20 @@
     return "x-not-executed" in response.headers or response.status_code == 421
 
 
-def _whole(text: str | None) -> int | None:
-    return int(float(text)) if text and text.replace(".", "", 1).isdigit() else None
+def read_count(text: str) -> int | None:
+    """A whole number that is not negative, fractions cut off; None where the text is none or is too long for one.
+
+    >>> read_count("80"), read_count("80.9"), read_count("x"), read_count("\u00b2"), read_count("9" * 5000)
+    (80, 80, None, None, None)
+    """
+    found = _COUNT.fullmatch(text.strip())
+    return int(found[1]) if found else None
 
 
 def _opening(service: str, request_id: str, headers: Any) -> Opening:
     parts = read_parts(headers.get("x-prompt-prefix", ""))
-    usage = [int(each) for each in headers.get("x-token-usage", "").split(",") if each.strip().isdigit()]
+    counts = [read_count(each) for each in headers.get("x-token-usage", "").split(",")]
+    usage = [each for each in counts if each is not None]
     shared = parts[:-1]
     named = ",".join([headers.get("x-model", ""), *(name for name, _ in shared)]) if shared else request_id
     digest = hashlib.sha256(f"{service}\0{named}".encode()).hexdigest()[:16]
@@ -98,8 +110,8 @@
         read = await read_body(request, configuration.settings.body_most_bytes)
         if isinstance(read, Failure):
             return Failure((request_id, read.failure()))
-        if not request_id:
-            return Failure(("", Refusal(400, "X-Attempt-Id: missing")))
+        if not request_id or len(headers.getlist("x-attempt-id")) > 1:
+            return Failure(("", Refusal(400, "X-Attempt-Id: one is needed")))
         name = node.routes().find(headers.get("host", ""), raw_path.decode("latin-1"))
         if name is None or name not in configuration.routes:
             if node.generation() < 1:
@@ -109,7 +121,7 @@
         query = scope["query_string"]
         words = RequestWords(scope["method"], raw_path + (b"?" + query if query else b""), list(scope["headers"]))
         service = pick_target(route.targets, headers.get("x-prompt-prefix", "").rpartition(",")[0] or request_id)
-        deadline_ms = _whole(headers.get("x-deadline-remaining"))
+        deadline_ms = read_count(headers.get("x-deadline-remaining", ""))
         call = Call(
             request_id=request_id,
             service=service,
@@ -162,11 +174,16 @@
         kept = [(name, value) for name, value in headers.raw if name.lower() not in _HOP]
         return Head(headers.get("x-weight-versions", ""), response.status_code, kept, failed=not whole)
 
-    async def pieces(self, response: httpx.Response, known: Known, call: Call) -> AsyncGenerator[Piece, None]:
+    async def pieces(
+        self, response: httpx.Response, known: Known, call: Call, after: str | None
+    ) -> AsyncGenerator[Piece, None]:
         assert isinstance(response.stream, httpx.AsyncByteStream)
         streamed = response.headers.get("content-type", "").startswith("text/event-stream")
-        async for data, number in events_of(response.stream, streamed and response.status_code < 300):
-            yield Piece(data, number)
+        try:
+            async for data, number in events_of(response.stream, streamed and response.status_code < 300, after):
+                yield Piece(data, number)
+        except EventError as error:
+            raise AttemptError(Fate.UNKNOWN, "stream", known.runner, str(error)) from None
 
     def opened(self, call: Call, head: Head, ticket: Ticket, way: str) -> tuple[int, Headers]:
         return head.status, head.headers
@@ -187,5 +204,17 @@
         return None
 
     async def probe(self, known: Known) -> float:
-        response = await known.reader.get(f"http://{known.address}/api/report")
-        return float(response.json()["active"])
+        return read_report(await known.reader.get(f"http://{known.address}/api/report"), known.runner)
+
+
+def read_report(response: httpx.Response, peer: str) -> float:
+    """Requests running at a runner by its report; what answers a request is none, whoever it was meant for."""
+    if response.status_code != 200 or "x-attempt-id" in response.headers:
+        raise FleetError(ErrorKind.BROKEN, "vitals", peer, f"no report: status {response.status_code}")
+    try:
+        active = response.json()["active"]
+    except (ValueError, TypeError, LookupError, RecursionError) as wrong:
+        raise FleetError(ErrorKind.BROKEN, "vitals", peer, f"not a report: {type(wrong).__name__}") from None
+    if not isinstance(active, int) or isinstance(active, bool) or not 0 <= active <= SLOTS_MOST:
+        raise FleetError(ErrorKind.BROKEN, "vitals", peer, "active: not a number of requests")
+    return float(active)
--- a/src/finchswitch/platform/instances.py
+++ b/src/finchswitch/platform/instances.py
@@ -1,5 +1,6 @@
 """The platform's list of runners: pages of instances, each with its identity, its service and its state."""
 
+import re
 from typing import Any
 
 import httpx
@@ -10,6 +11,8 @@
 
 __all__ = ["InstanceLister", "read_page"]
 
+_PORT = re.compile("[0-9]{1,5}")
+
 
 def read_page(raw: Any, peer: str) -> tuple[list[Listed], str | None]:
     """One page, and the token of the next.
@@ -23,7 +26,7 @@
             Listed(
                 runner=str(row["instance_id"]),
                 incarnation=str(row["instance_id"]),
-                address=str(row["address"]),
+                address=_checked_address(row["address"]),
                 leaving=row["state"] != "ready",
                 service=str(row["target_service"]),
                 slots=int(row.get("capacity_slots") or 0),
@@ -31,11 +34,27 @@
             for row in raw["instances"]
         ]
         token = raw.get("next_token")
-    except (KeyError, TypeError, ValueError, AttributeError) as wrong:
+    except (LookupError, TypeError, ValueError, AttributeError, OverflowError) as wrong:
         raise FleetError(ErrorKind.BROKEN, "list", peer, f"not a page of instances: {wrong!r}") from None
     return rows, token if isinstance(token, str) else None
 
 
+def _checked_address(address: Any) -> str:
+    """An address that can be dialled.
+
+    >>> _checked_address("10.0.0.1:80")
+    '10.0.0.1:80'
+    """
+    host, _, port = str(address).rpartition(":")
+    if not host or _PORT.fullmatch(port) is None or not 0 < int(port) < 65_536:
+        raise ValueError("address: not a host and a port")
+    try:
+        httpx.Request("GET", httpx.URL(scheme="http", host=host, port=int(port)))
+    except httpx.InvalidURL as wrong:
+        raise ValueError(f"address: {wrong}") from None
+    return str(address)
+
+
 class InstanceLister:
     def __init__(self, client: httpx.AsyncClient, address: str) -> None:
         self._client, self._address = client, address
@@ -53,7 +72,7 @@
                 rows, token = read_page(response.json(), self._address)
             except httpx.HTTPError as error:
                 raise FleetError(ErrorKind.SILENT, "list", self._address, repr(error)) from None
-            except ValueError as error:
+            except (ValueError, RecursionError) as error:
                 raise FleetError(ErrorKind.BROKEN, "list", self._address, str(error)) from None
             listed += rows
             if token is None:
--- a/src/finchswitch/router/attempt.py
+++ b/src/finchswitch/router/attempt.py
@@ -53,7 +53,7 @@
             step = "answer"
             known.heard(node.world.now_ms())
             head = dialect.check_head(response, known, call)
-            async with aclosing(dialect.pieces(response, known, call)) as pieces:
+            async with aclosing(dialect.pieces(response, known, call, after)) as pieces:
                 with anyio.fail_after(first_ms / 1000):
                     piece = await _next(pieces)
                 step = "stream"
--- a/src/finchswitch/router/call.py
+++ b/src/finchswitch/router/call.py
@@ -49,9 +49,12 @@
         await _start(self._node, self._send, status, headers)
 
     async def pass_on(self, piece: Piece) -> None:
-        """Pass a piece on; it counts as passed on before it is, so that no cancellation makes it come twice."""
+        """Pass a piece on; it counts as passed on before it is, so that no cancellation makes it come twice.
+
+        Behind a piece without a number nothing is taken up: it would come again.
+        """
         self.pieces += 1
-        self.at = piece.at or self.at
+        self.at = piece.at
         await self.go_on(piece.data)
 
     async def go_on(self, data: bytes, more: bool = True) -> None:
@@ -137,7 +140,9 @@
     """One try; raises a AttemptError unless the answer is whole now."""
     known, seat = node.roster.known[drawn.runner.incarnation], node.take_seat(drawn)
     ticket = Ticket(call.request_id, call.repeatable, call.service, call.opening.digest, drawn.runner.runner)
-    limit_ms = call.limit_ms or float(node.configuration().settings.answer_most_ms)
+    limit_ms = call.limit_ms
+    if limit_ms is None:
+        limit_ms = float(node.configuration().settings.answer_most_ms)
     left_ms = began_ms + limit_ms - node.world.now_ms()
     reason = "longer than its caller waits" if call.limit_ms else "longer than answerMostMs allows"
     with anyio.move_on_after(left_ms / 1000) as scope:
--- a/src/finchswitch/router/dialect.py
+++ b/src/finchswitch/router/dialect.py
@@ -108,8 +108,10 @@
     def check_head(self, response: httpx.Response, known: "Known", call: Call) -> Head:
         """The head of an answer; raises a AttemptError for a refusal or an answer of somebody else."""
 
-    def pieces(self, response: httpx.Response, known: "Known", call: Call) -> AsyncGenerator[Piece, None]:
-        """The pieces of a whole answer; raises a AttemptError unless it came whole."""
+    def pieces(
+        self, response: httpx.Response, known: "Known", call: Call, after: str | None
+    ) -> AsyncGenerator[Piece, None]:
+        """The pieces of a whole answer, or those behind ``after``; raises a AttemptError unless it came whole."""
 
     def opened(self, call: Call, head: Head, ticket: "Ticket", way: str) -> tuple[int, Headers]:
         """How the answer begins towards the caller."""
--- a/src/finchswitch/router/own.py
+++ b/src/finchswitch/router/own.py
@@ -52,7 +52,9 @@
             raise AttemptError(Fate.UNKNOWN, "answer", known.runner, "a success that says it did not run")
         return Head(str(response.headers.get("x-weights", "")))
 
-    async def pieces(self, response: httpx.Response, known: Known, call: Call) -> AsyncGenerator[Piece, None]:
+    async def pieces(
+        self, response: httpx.Response, known: Known, call: Call, after: str | None
+    ) -> AsyncGenerator[Piece, None]:
         number, held = 0, list[dict[str, Any]]()
         async with aclosing(_events(response, known)) as events:
             async for content in events:
