--- a/src/finchswitch/platform/stand_in.py
+++ b/src/finchswitch/platform/stand_in.py
@@ -3,10 +3,12 @@
 What reached it and what it ran is written down as it happens, on the one clock of the rehearsal.
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
 import anyio
+from anyio.abc import TaskGroup
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response
 
@@ -74,7 +76,7 @@
             answer = self._health() if request.url.path == "/health" else self._report()
             return await answer(scope, receive, send)
         body = await request.body()
-        turned_away = self._turned_away(request)
+        turned_away = self.turned_away(request.headers)
         attempt = request.headers.get("x-attempt-id", "")
         self.reached.append(Reached(attempt, self.instance, time_ms(), turned_away or 200))
         if turned_away:
@@ -85,17 +87,20 @@
             await self._run(request, attempt, body, send)
             group.cancel_scope.cancel()
 
-    def _turned_away(self, request: Request) -> int:
+    async def serve(self, address: str, group: TaskGroup) -> None:
+        """Serve requests at the address until cancelled."""
+        await self.world.serve_http(self, address, anyio.Event())
+
+    def turned_away(self, headers: Mapping[str, str]) -> int:
         """The status of a request that is not run here, or 0."""
-        if "x-attempt-id" not in request.headers:
+        if "x-attempt-id" not in headers:
             return 400
-        if request.headers.get("x-target-instance", self.instance) != self.instance:
+        if headers.get("x-target-instance", self.instance) != self.instance:
             return 421
         return 503 if self._active >= self.slots and self._queued >= self.queue else 0
 
     async def _run(self, request: Request, attempt: str, body: bytes, send: Any) -> None:
         target = request.scope["raw_path"] + (b"?" + request.scope["query_string"]).rstrip(b"?")
-        after = int(request.headers.get("last-event-id", "0"))
         events = int(request.headers.get("x-token-usage", "0,8").partition(",")[2])
         self._queued += 1
         try:
@@ -104,15 +109,20 @@
             self._queued -= 1
         self._active += 1
         try:
-            ran = Ran(attempt, self.instance, f"{self.instance}.{len(self.ran)}", time_ms(), ("", "", body), after)
-            ran.words = (request.method, target.decode("latin-1"), body)
-            self.ran.append(ran)
+            ran = self.begin(attempt, request.headers, (request.method, target.decode("latin-1"), body))
             await self.world.sleep(self.first_ms)
             await self._stream(ran, events, send)
         finally:
             self._active -= 1
             self._free.release()
 
+    def begin(self, attempt: str, headers: Mapping[str, str], words: tuple[str, str, bytes]) -> Ran:
+        """Write down that a request is run from now on."""
+        after = int(headers.get("last-event-id", "0"))
+        ran = Ran(attempt, self.instance, f"{self.instance}.{len(self.ran)}", time_ms(), words, after)
+        self.ran.append(ran)
+        return ran
+
     async def _stream(self, ran: Ran, events: int, send: Any) -> None:
         headers = {"content-type": "text/event-stream", "x-attempt-id": ran.attempt, "x-server-seal": ran.seal}
         headers.update({"connection": "close"} if self.leaving else {})
--- a/src/finchswitch/platform/stand_in_fleet.py
+++ b/src/finchswitch/platform/stand_in_fleet.py
@@ -33,6 +33,7 @@
 from finchswitch.simulation.deployments import Deployment
 from finchswitch.simulation.disk import SimDisk
 from finchswitch.simulation.play import in_virtual_time
+from finchswitch.transport import World
 
 __all__ = ["DEPLOYMENT", "StandInFleet", "play_fleet"]
 
@@ -50,6 +51,7 @@
         self.sent: list[Sent] = []
         self.desk = Gate(self.outside, self.desk.nodes)
         self._folder, self._first_start = folder, True
+        self.make_instance: Callable[[World, str, str, int], StandInInstance] = StandInInstance
 
     async def _serve_platform(self) -> None:
         await self._world("10.0.0.2").serve_http(self.listing.app(), _CLOUD, anyio.Event())
@@ -57,14 +59,14 @@
     def start_runner(self, name: str, incarnation: str, host: str = "", service: str = SERVICE) -> None:
         self._hosts += 1
         host = host or f"10.0.2.{self._hosts}"
-        self.instances[incarnation] = StandInInstance(self._world(host), service, incarnation, DEPLOYMENT.slots)
+        self.instances[incarnation] = self.make_instance(self._world(host), service, incarnation, DEPLOYMENT.slots)
         process = self.processes[incarnation] = Process(incarnation, host, "runner", "")
         self._group.start_soon(self._run, process, self._run_runner)
         self.listing.put(incarnation, service, f"{host}{RUNNER_PORT}", DEPLOYMENT.slots)
 
     async def _run_runner(self, process: Process, group: TaskGroup) -> None:
         instance = self.instances[process.name]
-        await instance.world.serve_http(instance, f"{process.host}{RUNNER_PORT}", anyio.Event())
+        await instance.serve(f"{process.host}{RUNNER_PORT}", group)
 
     def leave(self, incarnation: str) -> None:
         """From now on the runner is leaving; the list shows it a little later."""
--- a/src/finchswitch/simulation/scripted_runner.py
+++ b/src/finchswitch/simulation/scripted_runner.py
@@ -23,7 +23,7 @@
 from finchswitch.simulation.network import Net, SimStream
 from finchswitch.simulation.world import SimWorld
 
-__all__ = ["AttemptResult", "Close", "Pause", "Received", "Reset", "ScriptedRunner", "Step", "make_call"]
+__all__ = ["AttemptResult", "Close", "Pause", "Received", "Reset", "ScriptedRunner", "Step", "make_call", "requests_of"]
 
 _ADDRESS = "10.0.2.1:8000"
 _PATIENCE_MS = 5_000.0
@@ -117,7 +117,7 @@
 
     async def _serve(self, stream: SimStream) -> None:
         try:
-            async for received in _requests(stream):
+            async for received in requests_of(stream):
                 self.received.append(received)
                 for step in self.script(received):
                     await _act(stream, step)
@@ -148,7 +148,7 @@
     return Call(request_id, "s", False, Opening("s", "o", 0, 0), body, limit_ms=_PATIENCE_MS, words=words)
 
 
-async def _requests(stream: SimStream) -> AsyncGenerator[Received, None]:
+async def requests_of(stream: SimStream) -> AsyncGenerator[Received, None]:
     """Whole requests as they come; a script's bytes go past this parser, so it begins anew for each request."""
     while True:
         connection = h11.Connection(h11.SERVER)
