The memory network calls a connection readable only once the bytes have arrived

A kept connection was closed for bytes that were still on their way, so that an answer could hardly come in the place of the next one. The tests of answers and of unruly runners pass as before (96 passed).

--- a/src/finchswitch/simulation/network.py
+++ b/src/finchswitch/simulation/network.py
@@ -132,7 +132,9 @@
 
     @property
     def has_news(self) -> bool:
-        return bool(self._arrivals) or bool(self._ended)
+        """Whether something can be read at once; what is still under way cannot."""
+        come = bool(self._arrivals) and self._arrivals[0][0] <= anyio.current_time() * 1000
+        return come or bool(self._ended)
 
     def _notify(self) -> None:
         self._event.set()
