Beat rounds of a control node that are kicked are at least 10 ms apart

Cause: in a storm each routing node's news of a new generation made its control node beat to all the others at once. With 40 nodes, 6 control nodes and a change every 150 ms a control node began about 15 rounds a change (603 a second in all). Rounds that are kicked in quick succession are now one; the first after quiet still goes out at once.

--- a/src/finchswitch/constants.py
+++ b/src/finchswitch/constants.py
@@ -42,6 +42,7 @@
 RECENT_MOST: Final = 256  # orders that a document of the version before remembers; a full list has dropped some
 ORDERS_A_BLOCK: Final = 64  # orders kept in one block; a commit sends the last block, at most 1.6 kB
 ORDER_BLOCKS_MOST: Final = 128  # 8,192 orders are remembered: twenty minutes of 400 changes a minute
+KICKED_BEAT_LEAST_MS: Final = 10  # between kicked beat rounds of a control node; half of DELIVERY_LOOK_MS
 DELIVERY_LOOK_MS: Final = 20  # between two looks at who has confirmed; short against the 2 s of a change
 CHANGE_WAIT_MS: Final = 3_500  # a forwarded change: commit plus delivery, with room for one failover step
 DELIVERY_WAIT_MS: Final = 1_900  # the wait for every node's word before 202; the brief allows about 2 s
--- a/src/finchswitch/control/control_node.py
+++ b/src/finchswitch/control/control_node.py
@@ -12,7 +12,7 @@
 
 from finchswitch.bounds import Bounds
 from finchswitch.configuration import ConfigurationReader
-from finchswitch.constants import ASK_WAIT_MS, BEAT_MS, CONTROL_SILENT_MS
+from finchswitch.constants import ASK_WAIT_MS, BEAT_MS, CONTROL_SILENT_MS, KICKED_BEAT_LEAST_MS
 from finchswitch.control.acceptor import read_ballot
 from finchswitch.control.document import Ballot, Document, part_names
 from finchswitch.control.proposer import Proposer
@@ -45,7 +45,7 @@
         self.news = NewsBook()
         self.configuration_reader = ConfigurationReader()
         self.book = Book(world, group)
-        self.tempo = Tempo(world)
+        self.tempo = Tempo(world, KICKED_BEAT_LEAST_MS)
         self.replicas = Replicas(self.store, self.control_peers, self.book, group)
         self.proposers = {part: Proposer(part, self.store.store, self.replicas) for part in part_names()}
         for part, acceptor in self.store.acceptors.items():
