--- a/src/finchswitch/control/control_node.py
+++ b/src/finchswitch/control/control_node.py
@@ -39,7 +39,7 @@
         self.started_ms = world.now_ms()
         self.bounds: Bounds = startup.bounds
         self.group_size = 2 * self.bounds.tolerance + 1  # acceptors a part: a majority is left after the losses
-        self.store = Store(world, disk, startup.name)
+        self.store = Store(world, disk, startup.name, self.bounds.founds)
         self.control_peers = ControlPeers(startup.address, startup.seeds)
         self.sessions = Sessions()
         self.news = NewsBook()
@@ -120,6 +120,8 @@
             "district": self.startup.district,
             "fleet": self.store.fleet,
             "founders": self.store.founders,
+            "mayFound": self.store.may_found,
+            "proposal": self.store.proposal,
             "sees": sorted({self.store.store, *(each.store for each in self.control_peers.alive(now_ms))}),
             "owns": owns,
             "promised": {part: each.promised for part, each in self.store.acceptors.items()},
--- a/src/finchswitch/control/store.py
+++ b/src/finchswitch/control/store.py
@@ -46,11 +46,13 @@
 
 
 class Store:
-    def __init__(self, world: World, disk: Disk, name: str) -> None:
-        self._world, self._disk, self._name = world, disk, name
+    def __init__(self, world: World, disk: Disk, name: str, may_found: bool = False) -> None:
+        self._world, self._disk, self._name, self._first = world, disk, name, may_found
         self._versions = VersionedFile(disk, "store")
         self._state_machine = StateMachine(_TRANSITIONS, name)
         self.store, self.fleet, self.founders = "", "", list[str]()
+        self.may_found = False  # started first with the whole system, on an empty disk
+        self.proposal: list[str] = []  # the only founding group that this store agrees to
         self.acceptors: dict[str, Acceptor] = {}
         try:
             self._open()
@@ -72,6 +74,7 @@
             self._start_empty()
             return
         self.store, self.fleet, self.founders = kept["store"], kept["fleet"], kept["founders"]
+        self.may_found, self.proposal = kept.get("mayFound", False), kept.get("proposal", [])
         self._open_parts()
         if self.fleet:
             voting = any(each.votes() for each in self.acceptors.values())
@@ -83,6 +86,7 @@
             VersionedFile(self._disk, folder).clear()
         self._versions = VersionedFile(self._disk, "store")
         self.store, self.fleet, self.founders = f"{self._name}-{self._world.chance.randbytes(6).hex()}", "", []
+        self.may_found, self.proposal = self._first, []
         self._open_parts()
         self._write()
         _log.info("Empty store {}.", self.store)
@@ -93,11 +97,24 @@
         }
 
     def _write(self) -> None:
-        self._versions.put({"store": self.store, "fleet": self.fleet, "founders": self.founders})
+        identity = {"store": self.store, "fleet": self.fleet, "founders": self.founders}
+        self._versions.put({**identity, "mayFound": self.may_found, "proposal": self.proposal})
+
+    def agree(self, proposal: list[str]) -> None:
+        """Agree to a founding group, and to no other while that one may be founded."""
+        self.proposal = sorted(proposal)
+        self._write()
+
+    def withdraw(self) -> None:
+        """Agree no more to a founding group that can never be complete again."""
+        _log.warning("The founding group {} can not be complete any more.", ", ".join(self.proposal))
+        self.proposal = []
+        self._write()
 
     def found(self, founders: list[str]) -> None:
         """Become a founder: the founding documents first, then the fleet's id."""
         fleet = fleet_of(founders)
+        self._drop_documents(but=fleet)
         for part, acceptor in self.acceptors.items():
             if acceptor.document is None:
                 acceptor.adopt(founding_document(fleet, part, founders))
@@ -108,11 +125,19 @@
 
     def join(self, fleet: str, founders: list[str]) -> None:
         """Belong to a fleet that others founded, without a vote."""
+        self._drop_documents(but=fleet)
         self.fleet, self.founders = fleet, founders
         self._write()
         self._state_machine.take(StoreEvent.LEARNED)
         _log.info("Joined fleet {} as a spare.", fleet)
 
+    def _drop_documents(self, but: str) -> None:
+        """Drop what an interrupted founding of another fleet left; without a fleet no store ever voted on it."""
+        for part, acceptor in self.acceptors.items():
+            if acceptor.document is not None and acceptor.document["fleet"] != but:
+                VersionedFile(self._disk, part).clear()
+                self.acceptors[part] = Acceptor(self._world, self.store, part, VersionedFile(self._disk, part))
+
     def note_votes(self) -> None:
         """Follow what the documents say of this store's vote."""
         if self.state is StoreState.SPARE and any(each.votes() for each in self.acceptors.values()):
--- a/src/finchswitch/membership/control_peers.py
+++ b/src/finchswitch/membership/control_peers.py
@@ -32,6 +32,8 @@
     generations: dict[str, int]
     sessions: list[Message]
     district: str = ""
+    may_found: bool = False
+    proposal: list[str] = field(default_factory=list)
     digest: Message = field(default_factory=dict)
     heard_ms: float = 0.0
     asked_ms: float = field(default=-1e18)
@@ -52,6 +54,8 @@
             generations=read(body, "generations", dict, peer),
             sessions=read(body, "sessions", list, peer),
             district=str(body.get("district", "")),
+            may_found=body.get("mayFound") is True,
+            proposal=[str(store) for store in body.get("proposal", [])],
             digest=body.get("digest", {}),
         )
 
