--- a/src/finchswitch/control/control_node.py
+++ b/src/finchswitch/control/control_node.py
@@ -12,7 +12,7 @@
 
 from finchswitch.bounds import Bounds
 from finchswitch.configuration import ConfigurationReader
-from finchswitch.constants import ASK_WAIT_MS, BEAT_MS, CONTROL_SILENT_MS
+from finchswitch.constants import ASK_WAIT_MS, BEAT_MS, CONTROL_SILENT_MS, KICKED_BEAT_LEAST_MS
 from finchswitch.control.acceptor import read_ballot
 from finchswitch.control.document import Ballot, Document, part_names
 from finchswitch.control.proposer import Proposer
@@ -39,13 +39,13 @@
         self.started_ms = world.now_ms()
         self.bounds: Bounds = startup.bounds
         self.group_size = 2 * self.bounds.tolerance + 1  # acceptors a part: a majority is left after the losses
-        self.store = Store(world, disk, startup.name)
+        self.store = Store(world, disk, startup.name, self.bounds.founds)
         self.control_peers = ControlPeers(startup.address, startup.seeds)
         self.sessions = Sessions()
         self.news = NewsBook()
         self.configuration_reader = ConfigurationReader()
         self.book = Book(world, group)
-        self.tempo = Tempo(world)
+        self.tempo = Tempo(world, KICKED_BEAT_LEAST_MS)
         self.replicas = Replicas(self.store, self.control_peers, self.book, group)
         self.proposers = {part: Proposer(part, self.store.store, self.replicas) for part in part_names()}
         for part, acceptor in self.store.acceptors.items():
@@ -120,6 +120,8 @@
             "district": self.startup.district,
             "fleet": self.store.fleet,
             "founders": self.store.founders,
+            "mayFound": self.store.may_found,
+            "proposal": self.store.proposal,
             "sees": sorted({self.store.store, *(each.store for each in self.control_peers.alive(now_ms))}),
             "owns": owns,
             "promised": {part: each.promised for part, each in self.store.acceptors.items()},
