Staged fleets record operators' histories; a fault `operators` with many operators

Cause: the stage wrote down only the last sending of a change and one read at the end. Change: StageOperator sends through the same recorder as the simulation, each sending an entry, and confirmed reads go on all the while; simulation/operators.py serves both. An unanswered read at the end is now always a breach, before only one that was answered with another status. In the storms of cuts one operator stays with the cut-off node.

--- a/src/finchswitch/constants.py
+++ b/src/finchswitch/constants.py
@@ -175,3 +175,5 @@
 OPERATORS_LATE_ORDERS: Final = 300  # more than the orders that a document remembers, so that some are forgotten
 STAGE_HOST: Final = "127.0.0.1"  # a staged fleet lives on this machine only
 STAGE_PORT: Final = 17_100  # its ports begin here, far from what is commonly used
+STAGE_READ_MS: Final = 250  # between two confirmed reads of a staged fleet: a few in each lease
+STAGE_SENDINGS_MOST: Final = 5  # sendings of one change before a staged operator gives it up
--- a/src/finchswitch/programs/cli.py
+++ b/src/finchswitch/programs/cli.py
@@ -108,7 +108,9 @@
     seconds: Annotated[int, typer.Option(help="How long callers call.")] = 30,
     seed: Annotated[int, typer.Option(help="The seed of callers and faults.")] = 1,
     share: Annotated[float, typer.Option(help="Share of the deployment's request rate.")] = 1.0,
-    faults: Annotated[str, typer.Option(help="planned, crash, freeze, loss, runners, storm or none.")] = "planned",
+    faults: Annotated[
+        str, typer.Option(help="planned, crash, freeze, loss, runners, storm, operators or none.")
+    ] = "planned",
     keep: Annotated[Path | None, typer.Option(help="Folder for logs and data; a temporary one otherwise.")] = None,
     as_json: Annotated[bool, typer.Option("--json", help="The report as JSON.")] = False,
 ) -> None:
--- a/src/finchswitch/programs/faults.py
+++ b/src/finchswitch/programs/faults.py
@@ -6,10 +6,10 @@
 
 import anyio
 
-from finchswitch.programs.fleet import Fleet
+from finchswitch.programs.stage_operator import StageOperator
 from finchswitch.simulation.callers import Desk
-from finchswitch.simulation.history import Change, Fault, History
-from finchswitch.transport import World
+from finchswitch.simulation.history import Change, Fault
+from finchswitch.simulation.operators import Operators
 
 __all__ = ["FAULTS", "Hands"]
 
@@ -17,15 +17,13 @@
 class Hands:
     """What a fault may use: the fleet, its history, and an operator."""
 
-    def __init__(
-        self, world: World, fleet: Fleet, desk: Desk, history: History, client: Any, change: Any, seconds: int
-    ) -> None:
-        self.world, self.fleet, self.desk, self.history, self.seconds = world, fleet, desk, history, seconds
-        self._client, self._change = client, change
+    def __init__(self, operator: StageOperator, desk: Desk, seconds: int) -> None:
+        self.operator, self.desk, self.seconds = operator, desk, seconds
+        self.world, self.fleet, self.history = operator.world, operator.fleet, operator.history
         self.base = 1
 
     async def change(self, content: dict[str, Any], change_id: str) -> Change:
-        change: Change = await self._change(self.base, content, change_id)
+        change = await self.operator.insist(self.base, content, change_id)
         self.base = max(self.base, change.generation)
         return change
 
@@ -43,7 +41,7 @@
         self.history.mended(name, self.world.now_ms())
 
     async def tell(self, act: str, name: str, incarnation: str) -> None:
-        await self.fleet.tell(self._client, self.history, self.world, act, name, incarnation)
+        await self.fleet.tell(self.operator.client, self.history, self.world, act, name, incarnation)
 
     async def pause(self, share: float) -> None:
         await self.world.sleep(1000 * self.seconds * share)
@@ -174,6 +172,20 @@
         await hands.world.sleep(hands.world.chance.uniform(100, 900))
 
 
+async def operators(hands: Hands) -> None:
+    """Many operators race, insist and repeat while one control node after another is killed or frozen."""
+    fleet, world, chance = hands.fleet, hands.world, hands.world.chance
+    many = Operators(hands.operator, world.now_ms() + 1000 * hands.seconds * 0.9)
+    async with anyio.create_task_group() as group:
+        group.start_soon(many.operate)
+        while many.running():
+            name, freezing = chance.choice(fleet.control_nodes()), chance.random() < 0.5
+            hands.freeze(name) if freezing else hands.kill(name)
+            await world.sleep(chance.uniform(200, 6_000))
+            hands.thaw(name) if freezing else fleet.start(name)
+            await world.sleep(chance.uniform(500, 3_000))
+
+
 async def none(hands: Hands) -> None:
     """Nothing fails."""
 
@@ -185,5 +197,6 @@
     "loss": loss,
     "runners": runners,
     "storm": storm,
+    "operators": operators,
     "none": none,
 }
--- a/src/finchswitch/programs/fleet.py
+++ b/src/finchswitch/programs/fleet.py
@@ -96,13 +96,19 @@
     def doors(self) -> dict[str, tuple[str, str]]:
         return {name: place for name, place in self._http.items() if name.startswith("transit")}
 
-    def desks(self) -> list[str]:
-        return [place[0] for name, place in self._http.items() if name in self._running and name.startswith("accord")]
+    def control_nodes(self) -> list[str]:
+        return [name for name in self._http if name.startswith("accord")]
+
+    def running_controls(self) -> list[str]:
+        return [name for name in self.control_nodes() if name in self._running]
+
+    def http_address(self, name: str) -> str:
+        return self._http[name][0]
 
     async def founded(self, client: httpx.AsyncClient) -> bool:
         try:
-            for address in self.desks():
-                if (await client.get(f"http://{address}/ready")).status_code != 200:
+            for name in self.running_controls():
+                if (await client.get(f"http://{self.http_address(name)}/ready")).status_code != 200:
                     return False
         except httpx.HTTPError:
             return False
--- a/src/finchswitch/programs/stage.py
+++ b/src/finchswitch/programs/stage.py
@@ -2,15 +2,15 @@
 
 The faults are chosen by name: ``planned`` puts a move plan under way, kills one control node and stops and starts
 every routing node in turn; ``crash`` kills nodes one by one, ``freeze`` stops processes past every lease, ``loss``
-kills all at once, ``runners`` kills and replaces runners, ``storm`` does many things at seeded moments. The report
-says what callers got and which points of what must never happen were broken.
+kills all at once, ``runners`` kills and replaces runners, ``storm`` does many things at seeded moments,
+``operators`` kills and freezes control nodes under many operators. The report says what callers got and which points
+of what must never happen were broken; operators' writes and confirmed reads are judged as those of one register.
 """
 
 import json
 import shutil
 import tempfile
 from dataclasses import asdict
-from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -20,10 +20,11 @@
 
 from finchswitch.programs.faults import FAULTS, Hands
 from finchswitch.programs.fleet import Fleet
+from finchswitch.programs.stage_operator import StageOperator
 from finchswitch.simulation.callers import Calling, Desk, call_openly
 from finchswitch.simulation.checkers import judge
 from finchswitch.simulation.deployments import DEPLOYMENTS, Deployment
-from finchswitch.simulation.history import Change, History, Read
+from finchswitch.simulation.history import History, Read
 from finchswitch.simulation.report import make_report, print_report
 from finchswitch.transport.real import RealWorld
 
@@ -82,7 +83,8 @@
         await fleet.list_runners(client, history, world)
         founded = await _until(world, fleet.founded, client, 20_000)
         history.notes["foundedMs"] = founded
-        await _change(world, client, fleet, history, 0, {"configuration": fleet.deployment.configuration()}, "first")
+        operator = StageOperator(world, fleet, history, client)
+        await operator.insist(0, {"configuration": fleet.deployment.configuration()}, "first")
         desk = Desk(world, fleet.doors(), sights=history.sights)
         group.start_soon(desk.look)
         history.notes["readyMs"] = await _until(world, lambda _: _all_ready(desk), client, 20_000)
@@ -92,9 +94,9 @@
             for traffic in fleet.deployment.traffic:
                 scaled = type(traffic)(**{**asdict(traffic), "per_s": traffic.per_s * share})
                 calling.start_soon(call_openly, Calling(world, desk, scaled, history, callers, calling), until_ms)
-            operate = partial(_change, world, client, fleet, history)
-            await FAULTS[faults](Hands(world, fleet, desk, history, client, operate, seconds))
-        await _read_back(client, fleet, history)
+            calling.start_soon(operator.read_often, until_ms)
+            await FAULTS[faults](Hands(operator, desk, seconds))
+        await _read_back(operator)
         history.notes["vitals"] = await fleet.vitals(client)
 
 
@@ -102,13 +104,15 @@
     return len(desk.ready) == len(desk.nodes) and all(desk.ready.values())
 
 
-async def _read_back(client: httpx.AsyncClient, fleet: Fleet, history: History) -> None:
-    """What the fleet says at the end: its generation, and where plans stand."""
+async def _read_back(operator: StageOperator) -> None:
+    """What the fleet says at the end: its configuration, which must be confirmed, and where plans stand."""
+    history = operator.history
+    read = await operator.read_confirmed()
+    if read.unanswered:
+        history.reads.append(Read(read.sent_ms, -1))  # one that the checkers find behind
     try:
-        address = fleet.desks()[0]
-        read = (await client.get(f"http://{address}/v1/configuration?current=true")).json()
-        history.reads.append(Read(max(change.answered_ms for change in history.changes), read.get("generation", -1)))
-        history.notes["plans"] = (await client.get(f"http://{address}/v1/plans")).json()["plans"]
+        address = operator.fleet.http_address(operator.fleet.running_controls()[0])
+        history.notes["plans"] = (await operator.client.get(f"http://{address}/v1/plans")).json()["plans"]
     except (httpx.HTTPError, IndexError) as error:
         history.notes["read back"] = repr(error)
 
@@ -120,31 +124,3 @@
             raise RuntimeError(f"{holds} did not come about in {most_ms:.0f} ms")
         await world.sleep(50)
     return round(world.now_ms() - began_ms)
-
-
-async def _change(
-    world: RealWorld,
-    client: httpx.AsyncClient,
-    fleet: Fleet,
-    history: History,
-    base: int,
-    content: dict[str, Any],
-    change_id: str,
-) -> Change:
-    change = Change(change_id, base, world.now_ms(), mark="", content=content)
-    history.changes.append(change)
-    for at in range(5):
-        try:
-            url = f"http://{world.chance.choice(fleet.desks())}/v1/changes"
-            response = await client.post(url, json={"changeId": change_id, "base": base, "again": at > 0, **content})
-            answer = response.json()
-        except (httpx.HTTPError, ValueError):
-            continue
-        change.status, change.generation = response.status_code, int(answer.get("generation", -1))
-        change.answered_ms = world.now_ms()
-        if change.status not in (503, 504):
-            break
-    history.notes.setdefault("changes", []).append(
-        [change_id, change.status, round(change.answered_ms - change.sent_ms)]
-    )
-    return change
--- a/src/finchswitch/simulation/operated.py
+++ b/src/finchswitch/simulation/operated.py
@@ -27,6 +27,12 @@
     def of_kind(self, kind: str) -> list[Any]:
         raise NotImplementedError
 
+    async def sleep(self, wait_ms: float) -> None:
+        await self.outside.sleep(wait_ms)
+
+    def control_nodes(self) -> list[str]:
+        return [process.name for process in self.of_kind("accord")]
+
     async def change(self, base: int, content: dict[str, Any], mark: str = "", at: str = "", **fixed: Any) -> Change:
         """Send one change to one control node; its fate may stay open."""
         self.changes += 1
@@ -41,7 +47,7 @@
             return await OperatorClient(client, self.history, self.now_ms).read(self._operator_address(at))
 
     def _operator_address(self, at: str) -> str:
-        name = at or self.chance.choice(self.of_kind("accord")).name
+        name = at or self.chance.choice(self.control_nodes())
         return f"{self.processes[name].host}:8000"
 
     async def insist(self, content: dict[str, Any], mark: str = "", most_ms: float = 20_000) -> Change:
--- a/src/finchswitch/simulation/operator_storms.py
+++ b/src/finchswitch/simulation/operator_storms.py
@@ -25,19 +25,21 @@
 OPERATOR_HOST = "10.0.0.1"
 
 
-async def _storm(cluster: Cluster, fault: Callable[[Operators], Awaitable[None]]) -> None:
+Fault = Callable[[Cluster, Operators], Awaitable[None]]
+
+
+async def _storm(cluster: Cluster, fault: Fault) -> None:
     await cluster.insist({"configuration": cluster.deployment.configuration()})
     operators = Operators(cluster, cluster.now_ms() + OPERATORS_STORM_MS)
     async with anyio.create_task_group() as group:
-        for operate in (operators.race, operators.race, operators.insist, operators.repeat, operators.read):
-            group.start_soon(operate)
-        await fault(operators)
+        group.start_soon(operators.operate)
+        await fault(cluster, operators)
     await close_storm(cluster)
 
 
 def _owner(cluster: Cluster) -> str:
     """The node that owns the configuration, or any if none does."""
-    names = [process.name for process in cluster.of_kind("accord")]
+    names = cluster.control_nodes()
     for name in names:
         process = cluster.processes[name]
         if process.group is not None and process.control is not None:
@@ -47,13 +49,13 @@
 
 
 def _others(cluster: Cluster, name: str) -> list[str]:
-    return [process.name for process in cluster.of_kind("accord") if process.name != name]
+    return [other for other in cluster.control_nodes() if other != name]
 
 
 async def operators_steady(cluster: Cluster) -> None:
     """Nothing fails."""
 
-    async def nothing(operators: Operators) -> None:
+    async def nothing(_: Cluster, operators: Operators) -> None:
         await operators.pause(10, 20)
 
     await _storm(cluster, nothing)
@@ -64,8 +66,7 @@
     await _storm(cluster, _fall)
 
 
-async def _fall(operators: Operators) -> None:
-    cluster = operators.cluster
+async def _fall(cluster: Cluster, operators: Operators) -> None:
     while operators.running():
         await operators.pause(300, 2_500)
         name = _owner(cluster)
@@ -77,11 +78,11 @@
 async def operators_cut(cluster: Cluster) -> None:
     """The owner is cut off from the other control nodes for twenty seconds, both ways; operators still reach it."""
 
-    async def cut(operators: Operators) -> None:
+    async def cut(cluster: Cluster, operators: Operators) -> None:
         await operators.pause(1_000, 3_000)
         name = _owner(cluster)
         cluster.isolate(name, _others(cluster, name))
-        await cluster.outside.sleep(OPERATORS_CUT_MS)
+        await operators.stay(name, cluster.now_ms() + OPERATORS_CUT_MS)
         cluster.net.heal_all()
 
     await _storm(cluster, cut)
@@ -90,13 +91,13 @@
 async def operators_cut_one_way(cluster: Cluster) -> None:
     """For twenty seconds the owner is not heard by the other control nodes, or does not hear them."""
 
-    async def cut(operators: Operators) -> None:
+    async def cut(cluster: Cluster, operators: Operators) -> None:
         await operators.pause(1_000, 3_000)
         name = _owner(cluster)
         deaf = cluster.chance.random() < 0.5
         for other in _others(cluster, name):
             cluster.isolate(*((other, [name]) if deaf else (name, [other])), both=False)
-        await cluster.outside.sleep(OPERATORS_CUT_MS)
+        await operators.stay(name, cluster.now_ms() + OPERATORS_CUT_MS)
         cluster.net.heal_all()
 
     await _storm(cluster, cut)
@@ -105,7 +106,7 @@
 async def operators_freezes(cluster: Cluster) -> None:
     """The owner, or another node, is frozen for up to eight seconds and wakes."""
 
-    async def freeze(operators: Operators) -> None:
+    async def freeze(cluster: Cluster, operators: Operators) -> None:
         while operators.running():
             await operators.pause(300, 2_000)
             name = _owner(cluster) if cluster.chance.random() < 0.7 else operators.nodes(1)[0]
@@ -119,7 +120,7 @@
 async def operators_wipes(cluster: Cluster) -> None:
     """The owner's machine is lost for good and comes back empty at a new address; later another one's."""
 
-    async def wipe(operators: Operators) -> None:
+    async def wipe(cluster: Cluster, operators: Operators) -> None:
         for at in range(2):
             await operators.pause(1_000, 2_500)
             name = _owner(cluster)
@@ -138,8 +139,7 @@
     await _storm(cluster, _lose_answers)
 
 
-async def _lose_answers(operators: Operators) -> None:
-    cluster = operators.cluster
+async def _lose_answers(cluster: Cluster, operators: Operators) -> None:
     while operators.running():
         await operators.pause(200, 1_500)
         names = {_owner(cluster), operators.nodes(1)[0]}
@@ -154,10 +154,10 @@
 async def operators_falls_and_lost_answers(cluster: Cluster) -> None:
     """The owner falls while answers are lost."""
 
-    async def both(operators: Operators) -> None:
+    async def both(cluster: Cluster, operators: Operators) -> None:
         async with anyio.create_task_group() as group:
-            group.start_soon(_fall, operators)
-            group.start_soon(_lose_answers, operators)
+            group.start_soon(_fall, cluster, operators)
+            group.start_soon(_lose_answers, cluster, operators)
 
     await _storm(cluster, both)
 
