An owner refuses and confirms again only under a majority's word

Cause: `_as_owner` answered 409 and 422, and 200 for a remembered change, from the document that it held. An owner that was cut off for twenty seconds refused proper orders built on what the majority had taken meanwhile. Ruled out: judging under a held lock for the time of the check; a cut-off owner would then hold each of eight orders for the waits of all before it. Change: the judgement is a pure function of a document (control/judgement.py). It is made of the document as it stands with no commit under way (`Proposer.settled`), and a refusal or a remembered change is told only after `Proposer.check`, begun later, found the ballot still the highest at a majority of the group and the former one; else 503 or 504. The guards of a service's part and the 404 of an unknown member follow the same rule.

--- a/src/finchswitch/control/changes.py
+++ b/src/finchswitch/control/changes.py
@@ -4,6 +4,10 @@
 409 stale, 413 large, 422 invalid, 503 surely not taken, 504 fate unknown, 202 committed but some node has not
 confirmed it, 200 in effect everywhere. A sending marked ``again`` follows one without an answer; what became of
 that one may be open, so it is never told 503.
+
+Every answer that rests on what the owner holds (409, 422, and 200 or 202 for a change committed before) is given only
+after a majority, asked after the change arrived, has said that this owner's ballot is still the highest. Else it
+is 503 or 504. Errors of shape and size rest on nothing and are told at once.
 """
 
 import json
@@ -11,7 +15,7 @@
 
 from returns.result import Failure
 
-from finchswitch.configuration import apply_edits, read_configuration
+from finchswitch.configuration import apply_edits
 from finchswitch.constants import (
     ACCEPT_WAIT_MS,
     CHANGE_WAIT_MS,
@@ -21,8 +25,8 @@
     OWNER_WAIT_MS,
 )
 from finchswitch.control.control_node import ControlNode
-from finchswitch.control.document import Document, digest_of, succeed
-from finchswitch.control.orders import find_order, forgotten_mark
+from finchswitch.control.document import succeed
+from finchswitch.control.judgement import MaybeForgotten, Refused, Remembered, judge_change
 from finchswitch.errors import ErrorKind, FleetError
 from finchswitch.logs import prefix
 from finchswitch.transport import Message, field
@@ -93,62 +97,34 @@
 
 
 async def _as_owner(control: ControlNode, change: Message) -> Message:
+    """Judge and commit a change here; a judgement that is told without a commit is confirmed by a majority first."""
     proposer = control.proposers[CONFIGURATION_PART]
-    digest = digest_of([*_base(change), change.get("configuration"), change.get("edits")])
-    while proposer.owns() and proposer.document is not None:
-        document = proposer.document
-        taken = find_order(document, change["changeId"], digest)
-        if taken is not None:
-            if not taken.same:
-                return _answer(422, wrong=["changeId: used before for another change"])
-            return await _delivered(control, taken.generation)
-        if _may_be_forgotten(document, change):
+    while (document := await proposer.settled()) is not None:
+        judgement = judge_change(document, change)
+        if isinstance(judgement, MaybeForgotten):
             return _answer(504, reason="built on so old a base that nobody remembers whether it was taken")
-        held = document["body"].get("settings", {}).get("revision", 0)
-        if change.get("base", document["generation"]) != document["generation"]:
-            return _answer(409, generation=document["generation"], reason="built on another generation")
-        if change.get("baseRevision", held) != held:
-            return _answer(409, generation=document["generation"], revision=held, reason="built on another revision")
-        edited = _edited(document, change)
-        if isinstance(edited, list):
-            return _answer(422, wrong=edited)
-        checked = read_configuration(edited)
-        if isinstance(checked, Failure):
-            return _answer(422, wrong=checked.failure())
-        revision = checked.unwrap().settings.revision
-        if revision <= held if "baseRevision" in change else revision < held:
-            return _answer(422, wrong=[f"settings.revision: {revision} is not above {held}"])
-        recent = [change["changeId"], digest, document["generation"] + 1]
+        if isinstance(judgement, Refused):
+            if await proposer.check():
+                return judgement.answer
+            return _answer(503, reason="the owner cannot reach a majority; surely not taken")
+        if isinstance(judgement, Remembered):
+            if await proposer.check():
+                return await _delivered(control, judgement.generation)
+            return _answer(504, reason="the owner cannot reach a majority; ask again with the same change id")
         try:
-            await proposer.commit(document, succeed(document, edited, recent, document["group"]))
+            await proposer.commit(document, judgement.following)
         except FleetError as error:
             _log.warning("Change {} was not committed. {}", change["changeId"], error)
             if error.kind is ErrorKind.REFUSED:
                 continue  # another commit came first: judge anew, or find that this node no longer owns
             return _answer(504, reason="fate unknown; ask again with the same change id")
         control.announce(CONFIGURATION_PART)
-        _log.info("Generation {} committed by change {}.", recent[2], change["changeId"])
-        return await _delivered(control, recent[2])
+        generation = judgement.following["generation"]
+        _log.info("Generation {} committed by change {}.", generation, change["changeId"])
+        return await _delivered(control, generation)
     return _answer(503, reason="the owner fell before the change was proposed; surely not taken")
 
 
-def _may_be_forgotten(document: Document, change: Message) -> bool:
-    generation, revision = forgotten_mark(document)
-    return bool(change["base"] < generation if "base" in change else change["baseRevision"] < revision)
-
-
-def _base(change: Message) -> list[int]:
-    return [change["base"]] if "base" in change else [-1, change["baseRevision"]]
-
-
-def _edited(document: Document, change: Message) -> Message | list[str]:
-    if "configuration" in change:
-        whole = change["configuration"]
-        return whole if isinstance(whole, dict) else ["configuration: not an object"]
-    edited = apply_edits(document["body"], change["edits"])
-    return edited.failure() if isinstance(edited, Failure) else edited.unwrap()
-
-
 async def _delivered(control: ControlNode, generation: int) -> Message:
     until_ms = control.world.now_ms() + control.bounds.delivery_wait_ms
     while True:
@@ -173,11 +149,13 @@
         address = control.control_peers.by_store[owner].address
         return await control.book.ask(address, "part.edit", {**body, "passed": True}, ACCEPT_WAIT_MS)
     proposer = control.proposers[part]
-    while (document := proposer.document) is not None and proposer.owns():
+    while (document := await proposer.settled()) is not None:
         for guard in field(body, "guards", list):
             held = document["body"].get(guard["kind"], {}).get(guard["name"])
             if held != guard["value"]:
-                return {"taken": False, "held": held}
+                if await proposer.check():
+                    return {"taken": False, "held": held}
+                raise FleetError.refused("edit", part, "the owner cannot reach a majority")
         edited = apply_edits(document["body"], field(body, "edits", list))
         if isinstance(edited, Failure):
             raise FleetError.refused("edit", part, "; ".join(edited.failure()))
--- a/src/finchswitch/control/operator_api.py
+++ b/src/finchswitch/control/operator_api.py
@@ -46,6 +46,9 @@
 
     async def forget(request: Request) -> Response:
         name = request.path_params["name"]
+        confirmation = await confirm_current(control)
+        if confirmation["status"] != 200:  # cut off from the others, this node cannot say what they hold
+            return _json(control, confirmation)
         forgotten = await forget_everywhere(control, name)
         reason = {} if forgotten else {"reason": f"no control node holds {name} as dark"}
         return _json(control, {"status": 200 if forgotten else 404, "name": name, **reason})
--- a/src/finchswitch/control/proposer.py
+++ b/src/finchswitch/control/proposer.py
@@ -50,6 +50,14 @@
             accepted = await self._run(self.begin_commit(base, following), ACCEPT_WAIT_MS)
             self.committed(following, accepted)
 
+    async def settled(self) -> Document | None:
+        """The document of this owner at a moment when no commit is under way; None if it does not own.
+
+        Where ``check``, begun after this, succeeds, no newer document was committed anywhere at that moment.
+        """
+        async with self._lock:
+            return self.document if self.owns() else None
+
     async def check(self) -> bool:
         """Whether a majority still holds this owner's ballot as the highest promised."""
         confirmation = self.begin_check()
