--- a/src/finchswitch/control/changes.py
+++ b/src/finchswitch/control/changes.py
@@ -26,7 +26,7 @@
 )
 from finchswitch.control.control_node import ControlNode
 from finchswitch.control.document import succeed
-from finchswitch.control.judgement import Refused, Remembered, judge_change
+from finchswitch.control.judgement import MaybeForgotten, Refused, Remembered, judge_change
 from finchswitch.errors import ErrorKind, FleetError
 from finchswitch.logs import prefix
 from finchswitch.transport import Message, field
@@ -101,6 +101,8 @@
     proposer = control.proposers[CONFIGURATION_PART]
     while (document := await proposer.settled()) is not None:
         judgement = judge_change(document, change, control.configuration_reader)
+        if isinstance(judgement, MaybeForgotten):
+            return _answer(504, reason="built on so old a base that nobody remembers whether it was taken")
         if isinstance(judgement, Refused):
             if await proposer.check():
                 return judgement.answer
--- a/src/finchswitch/control/judgement.py
+++ b/src/finchswitch/control/judgement.py
@@ -1,4 +1,4 @@
-"""What a change means for a document: refused, remembered from an earlier sending, or a proposal of the next step.
+"""What a change means for a document: refused, remembered from an earlier sending, too old to tell, or proposed.
 
 A judgement is a pure function of the change and of one document. Whether that document is the newest is for the
 caller to establish: a refusal and a remembered change may only be told once a majority has confirmed the owner.
@@ -14,7 +14,7 @@
 from finchswitch.control.orders import find_order, forgotten_mark
 from finchswitch.transport import Message
 
-__all__ = ["Judgement", "Proposed", "Refused", "Remembered", "judge_change"]
+__all__ = ["Judgement", "MaybeForgotten", "Proposed", "Refused", "Remembered", "judge_change"]
 
 
 @dataclass(frozen=True)
@@ -31,6 +31,11 @@
     generation: int
 
 
+@dataclass(frozen=True)
+class MaybeForgotten:
+    """The change builds on a base older than the oldest order remembered, so it may have been committed once."""
+
+
 @dataclass(frozen=True)
 class Proposed:
     """The change fits; ``following`` is the document to commit."""
@@ -38,18 +43,17 @@
     following: Document
 
 
-Judgement = Refused | Remembered | Proposed
+Judgement = Refused | Remembered | MaybeForgotten | Proposed
 
 
 def judge_change(document: Document, change: Message, reader: ConfigurationReader) -> Judgement:
     """Judge a change of the right shape against a document; the reader checks the configuration that it makes."""
     digest = digest_of([*_base(change), change.get("configuration"), change.get("edits")])
-    taken = find_order(document, change["changeId"], digest)
-    if taken is not None:
-        return Remembered(taken.generation) if taken.same else _invalid(["changeId: used before for another change"])
+    order = find_order(document, change["changeId"], digest)
+    if order is not None:
+        return Remembered(order.generation) if order.same else _invalid(["changeId: used before for another change"])
     if _may_be_forgotten(document, change):
-        reason = "built on so old a base that nobody remembers whether it was taken"
-        return Refused({"status": 504, "reason": reason})
+        return MaybeForgotten()
     held_revision = document["body"].get("settings", {}).get("revision", 0)
     stale = _stale(document, change, held_revision)
     if stale is not None:
