--- a/src/finchswitch/programs/cli.py
+++ b/src/finchswitch/programs/cli.py
@@ -175,6 +175,22 @@
     raise typer.Exit(1 if wrong else 0)
 
 
+@app.command()
+def check(
+    scenario: Annotated[str, typer.Argument(help="A scenario's name, or all.")] = "all",
+    depth: Annotated[int, typer.Option(help="Longest schedule, in steps.")] = 100,
+    more: Annotated[int, typer.Option(help="How often more each trouble of a scenario may come.")] = 0,
+    states: Annotated[int, typer.Option(help="Most states of one scenario.")] = 10_000_000,
+    seconds: Annotated[float, typer.Option(help="Longest time for all scenarios together.")] = 600.0,
+    strict_ballots: Annotated[bool, typer.Option(help="Count a ballot that a store stands with twice.")] = False,
+) -> None:
+    """Search the schedules of a small fleet's control side, with the real code, for one that breaks an invariant."""
+    from finchswitch.checking.search import Limits
+    from finchswitch.programs.check import run_check
+
+    raise typer.Exit(run_check(scenario, more, strict_ballots, Limits(depth, states, seconds)))
+
+
 @app.command()
 def slopes(
     only: Annotated[str, typer.Option(help="Measure the subjects whose name begins so; all otherwise.")] = "",
