--- a/tests/test_checking_mutants.py
+++ b/tests/test_checking_mutants.py
@@ -1,5 +1,7 @@
 """Guards taken out of the real code one by one: the search finds a schedule that breaks an invariant without each."""
 
+import pytest
+
 import finchswitch.checking.claim
 import finchswitch.checking.memory_disk
 import finchswitch.checking.replica
@@ -10,6 +12,8 @@
 import finchswitch.control.replicas
 import finchswitch.control.rounds
 import finchswitch.storage
+from finchswitch.checking.scenarios import SCENARIOS
+from finchswitch.checking.search import Limits, search
 from finchswitch.errors import FleetError
 
 Acceptor = finchswitch.control.acceptor.Acceptor
