--- a/src/finchswitch/control/document.py
+++ b/src/finchswitch/control/document.py
@@ -12,7 +12,7 @@
 
 from finchswitch.configuration import apply_edits, edits_between
 from finchswitch.constants import CONFIGURATION_PART, PARTS
-from finchswitch.control.orders import grow_orders, remember, shrink_orders
+from finchswitch.control.orders import check_orders, grow_orders, remember, shrink_orders
 from finchswitch.errors import ErrorKind, FleetError
 
 __all__ = [
@@ -24,6 +24,7 @@
     "grow",
     "part_names",
     "part_of",
+    "read_document",
     "shrink",
     "succeed",
 ]
@@ -34,6 +35,27 @@
 _NO_STEP = -1
 
 
+_FIELDS = {"fleet": str, "part": str, "step": int, "generation": int, "group": list, "former": list, "body": dict}
+
+
+def read_document(value: Any) -> Document:
+    """A document as it comes off the wire or the disk, or a FleetError BROKEN.
+
+    >>> read_document(founding_document("f", "creed", ["a"]))["step"]
+    0
+    """
+    good = isinstance(value, dict) and all(type(value.get(name)) is kind for name, kind in _FIELDS.items())
+    if not good:
+        raise FleetError(ErrorKind.BROKEN, "read", "document", "a field is missing or of the wrong type")
+    stores = [*value["group"], *value["former"]]
+    entries = value["body"].values()
+    if not all(isinstance(store, str) for store in stores) or not all(isinstance(each, dict) for each in entries):
+        raise FleetError(ErrorKind.BROKEN, "read", "document", "a group or a body is not of the agreed shape")
+    check_orders(value)
+    document: Document = value
+    return document
+
+
 def part_names() -> list[str]:
     return [CONFIGURATION_PART, *(f"part-{at}" for at in range(PARTS))]
 
@@ -115,7 +137,7 @@
     following = {**delta["rest"], "body": _grown_body(base, delta)}
     if "orders" in delta:
         following["orders"] = grow_orders(base, delta["orders"])
-    return following
+    return read_document(following)
 
 
 def _grown_body(base: Document, delta: Document) -> Document:
--- a/src/finchswitch/control/orders.py
+++ b/src/finchswitch/control/orders.py
@@ -12,13 +12,15 @@
 from typing import Any
 
 from finchswitch.constants import ORDER_BLOCKS_MOST, ORDERS_A_BLOCK, RECENT_MOST
+from finchswitch.errors import ErrorKind, FleetError
 
-__all__ = ["TakenOrder", "find_order", "forgotten_mark", "grow_orders", "remember", "shrink_orders"]
+__all__ = ["TakenOrder", "check_orders", "find_order", "forgotten_mark", "grow_orders", "remember", "shrink_orders"]
 
 Document = dict[str, Any]
 Orders = dict[str, Any]
 Block = dict[str, Any]
 
+_NOTHING: Orders = {"blocks": [], "forgotten": [0, 0]}
 _ID_BYTES, _CONTENT_BYTES, _GENERATION_BYTES = 9, 6, 3
 _ID_CHARACTERS = 12
 _GENERATION_AT = 20
@@ -48,7 +50,8 @@
 
 
 def _held(document: Document) -> Orders:
-    return document.get("orders") or {"blocks": [], "forgotten": [0, 0]}
+    orders: Orders = document.get("orders", _NOTHING)
+    return orders
 
 
 def find_order(document: Document, change_id: str, digest: str) -> TakenOrder | None:
@@ -94,6 +97,26 @@
     return generation, revision
 
 
+def check_orders(document: Document) -> None:
+    """Raise a FleetError BROKEN if what a document says of its orders is not of the agreed shape."""
+    orders, recent = document.get("orders", _NOTHING), document.get("recent", [])
+    good = isinstance(recent, list) and all(isinstance(each, list) and len(each) == 3 for each in recent)
+    good = good and isinstance(orders, dict) and isinstance(orders.get("blocks"), list)
+    good = good and _are_numbers(orders.get("forgotten")) and all(_is_block(each) for each in orders["blocks"])
+    if not good:
+        raise FleetError(ErrorKind.BROKEN, "read", "document", "its orders are not of the agreed shape")
+
+
+def _are_numbers(value: Any) -> bool:
+    return isinstance(value, list) and len(value) == 2 and all(type(each) is int for each in value)
+
+
+def _is_block(value: Any) -> bool:
+    if not isinstance(value, dict) or not isinstance(value.get("orders"), str):
+        return False
+    return len(value["orders"]) % _WIDTH == 0 and _are_numbers([value.get("generation"), value.get("revision")])
+
+
 def remember(document: Document, change_id: str, digest: str, generation: int, revision: int) -> Orders:
     """The orders of a document with one more: its generation, and the operator's revision that it left behind."""
     orders = _converted(document, revision)
--- a/src/finchswitch/control/store.py
+++ b/src/finchswitch/control/store.py
@@ -8,12 +8,12 @@
 from enum import Enum
 
 from finchswitch.control.acceptor import Acceptor
-from finchswitch.control.document import digest_of, founding_document, part_names
+from finchswitch.control.document import digest_of, founding_document, part_names, read_document
 from finchswitch.errors import ErrorKind, FleetError
 from finchswitch.logs import prefix
 from finchswitch.state_machines import StateMachine, load_transitions
 from finchswitch.storage import Disk, VersionedFile
-from finchswitch.transport import World
+from finchswitch.transport import World, field, reading
 
 __all__ = ["Store", "StoreState", "fleet_of"]
 
@@ -73,8 +73,9 @@
                 raise FleetError(ErrorKind.BROKEN, "open", self._name, "parts without a store")
             self._start_empty()
             return
-        self.store, self.fleet, self.founders = kept["store"], kept["fleet"], kept["founders"]
-        self.may_found, self.proposal = kept.get("mayFound", False), kept.get("proposal", [])
+        self.store, self.fleet = field(kept, "store", str, "disk"), field(kept, "fleet", str, "disk")
+        self.founders = field(kept, "founders", list, "disk")
+        self.may_found, self.proposal = kept.get("mayFound") is True, list(kept.get("proposal", []))
         self._open_parts()
         if self.fleet:
             voting = any(each.votes() for each in self.acceptors.values())
@@ -92,9 +93,13 @@
         _log.info("Empty store {}.", self.store)
 
     def _open_parts(self) -> None:
-        self.acceptors = {
-            part: Acceptor(self._world, self.store, part, VersionedFile(self._disk, part)) for part in part_names()
-        }
+        self.acceptors = {}
+        for part in part_names():
+            with reading("open", part):
+                acceptor = Acceptor(self._world, self.store, part, VersionedFile(self._disk, part))
+            if acceptor.document is not None:
+                read_document(acceptor.document)
+            self.acceptors[part] = acceptor
 
     def _write(self) -> None:
         identity = {"store": self.store, "fleet": self.fleet, "founders": self.founders}
--- a/src/finchswitch/storage/__init__.py
+++ b/src/finchswitch/storage/__init__.py
@@ -109,12 +109,21 @@
             raise FleetError(ErrorKind.BROKEN, "read", f"{self._folder}/{name}", str(error)) from None
         if hashlib.sha256(body.encode()).hexdigest() != digest:
             raise FleetError(ErrorKind.BROKEN, "read", f"{self._folder}/{name}", "torn: digest differs")
-        content: dict[str, Any] = json.loads(body)
+        content = self._content(name, body)
         if content.pop("format", 1) > STORAGE_READS:
             reason = f"of a newer format than {STORAGE_READS}, the newest that this version reads; nothing was changed"
             raise FleetError(ErrorKind.NEWER, "read", f"{self._folder}/{name}", reason)
         return content
 
+    def _content(self, name: str, body: str) -> dict[str, Any]:
+        try:
+            content = json.loads(body)
+        except (ValueError, RecursionError):
+            content = None
+        if not isinstance(content, dict) or type(content.get("format", 1)) is not int:
+            raise FleetError(ErrorKind.BROKEN, "read", f"{self._folder}/{name}", "not of the agreed shape")
+        return content
+
     def clear(self) -> None:
         for name in self._disk.names(self._folder):
             self._disk.remove(self._folder, name)
