--- a/tests/test_strange_contents.py
+++ b/tests/test_strange_contents.py
@@ -18,6 +18,7 @@
 from finchswitch.simulation.world import SimWorld
 from finchswitch.storage import VersionedFile
 from finchswitch.transport import reading
+from finchswitch.transport.real import RealWorld
 
 GROUP = ["a", "b", "c"]
 PHASES = [Phase.explicit, Phase.generate]
@@ -124,8 +125,8 @@
 @given(st.dictionaries(st.sampled_from(sorted(founding_document("f", "creed", GROUP))), JSON))
 def test_a_store_accepts_and_learns_no_document_with_a_strange_field(fields):
     document = {**founding_document("f", "creed", GROUP), **fields}
-    machine = Machine("m", 0.0)
-    acceptor = Acceptor(SimWorld(Net(None), machine, 1), "a", "creed", VersionedFile(SimDisk(machine), "creed"))
+    versions = VersionedFile(SimDisk(Machine("m", 0.0)), "creed")
+    acceptor = Acceptor(RealWorld(1), "a", "creed", versions)
     for take in (lambda: acceptor.learn((1, "b"), document), lambda: acceptor.accept((1, "b"), document, None)):
         try:
             take()
