--- a/src/finchswitch/bounds.py
+++ b/src/finchswitch/bounds.py
@@ -8,8 +8,10 @@
 
 from finchswitch.constants import (
     DELIVERY_WAIT_MS,
+    FOLLOW_HOLD_MS,
     LIST_POLL_MS,
     LIST_UNKNOWN_MS,
+    PEER_BEAT_MS,
     REPLACE_AFTER_MS,
     STOP_SETTLE_MS,
     TRIES_WINDOW_MS,
@@ -33,6 +35,8 @@
     list_shared: bool = False  # one node reads the list for all, the others hear of it
     vitals_poll_ms: float = VITALS_POLL_MS  # between two readings of a runner's vitals; 0 for none
     peers_most: int | None = None  # peers that a node beats; None for all, which grows with the square of the fleet
+    digest_beat_ms: float = PEER_BEAT_MS  # between two beats to a peer while control tells what all nodes carry
+    follow_hold_ms: float = FOLLOW_HOLD_MS  # a parent with nothing new answers a follower after this
     tries_window_ms: float = TRIES_WINDOW_MS  # extra tries are counted over this window
     tries_fleet_floor: float | None = None  # extra tries that the whole fleet may make beside the share of traffic
     tries_share: float | None = None  # the share; the configuration's where none is given here
--- a/src/finchswitch/constants.py
+++ b/src/finchswitch/constants.py
@@ -28,6 +28,7 @@
 CONTROL_GRACE_MS: Final = 1_500  # without current control this long, a node needs half of its peers to grant
 PEER_BEAT_MS: Final = 250  # burden and news of leaving; also the bound on going back after a wake
 PEER_SILENT_MS: Final = 1_000  # four peer beats
+PEER_SILENT_BEATS: Final = 4  # where beats are further apart
 PEERS_MOST: Final = 8  # peers that a node of a large fleet beats; news of one reaches all of 320 in three rounds
 TOLD_KEEP_MS: Final = 3_000  # sessions of a dead control node stand this long, so their nodes can move over
 
@@ -54,8 +55,8 @@
 
 # Relay
 FANOUT: Final = 3  # children a node: eight nodes need two steps
-FOLLOW_HOLD_MS: Final = 200  # a parent with nothing new answers after this, which shows it lives
-PARENT_SILENT_MS: Final = 400  # then the node goes elsewhere
+FOLLOW_HOLD_MS: Final = 200  # a parent with nothing new answers after this, which shows it lives; see Bounds
+PARENT_SILENT_MS: Final = 200  # a parent that owes its answer longer than it may hold it is silent
 ELSEWHERE_MS: Final = 2_000  # how long a silent parent is passed over
 BEHIND_MS: Final = 150  # a beat showed newer news and the parent did not bring it within this
 NEWS_KEEP: Final = 64  # changes kept for followers; one further behind gets a snapshot
--- a/src/finchswitch/control/control_node.py
+++ b/src/finchswitch/control/control_node.py
@@ -127,7 +127,7 @@
             "promised": {part: each.promised for part, each in self.store.acceptors.items()},
             "generations": self.news.generations(),
             "sessions": self.sessions.own(now_ms),
-            "digest": self.sessions.digest(),
+            "digest": self.sessions.digest(now_ms),
         }
 
     def hear_control_peer(self, body: Message, peer: str, asked_ms: float | None) -> None:
@@ -137,7 +137,7 @@
             return
         self.control_peers.heard(control_peer, now_ms, asked_ms)
         self.sessions.told(control_peer.store, control_peer.sessions, now_ms)
-        self.sessions.told_digest(control_peer.store, control_peer.digest, now_ms)
+        self.sessions.told_digest(control_peer.store, control_peer.digest, now_ms, asked_ms)
         for part, proposer in self.proposers.items():
             proposer.highest = max(proposer.highest, control_peer.promised.get(part, (0, ""))[0])
             if (
--- a/src/finchswitch/control/server.py
+++ b/src/finchswitch/control/server.py
@@ -84,6 +84,6 @@
     if body.get("membersMark") != mark:
         answer.update({"members": members, "membersMark": mark})
     if "word" in body:
-        control.sessions.hear_word(name, field(body, "word", dict, asked.peer))
+        control.sessions.hear_word(name, field(body, "word", dict, asked.peer), now_ms)
         answer["others"] = control.sessions.others(name, now_ms)
     return answer
--- a/src/finchswitch/distribution/follow.py
+++ b/src/finchswitch/distribution/follow.py
@@ -1,16 +1,19 @@
 """Following the news: a routing node asks its parent for what is newer, and goes elsewhere when it must.
 
 The parent holds an ask for a moment when there is nothing new, which also shows that it lives. A silent parent
-is passed over for a while. When a beat showed newer news than the parent brought, a control node is asked.
+is passed over for a while. When a beat showed newer news than the parent brought, a control node is asked; an ask that
+the parent still holds by then is given up, so how long it may hold asks does not delay a change.
 """
 
+import anyio
+
 from finchswitch.constants import BEHIND_MS, ELSEWHERE_MS, FOLLOW_HOLD_MS, PARENT_SILENT_MS
 from finchswitch.distribution.news import NewsBook
 from finchswitch.distribution.tree import parent_of
 from finchswitch.errors import ErrorKind, FleetError
 from finchswitch.logs import prefix
 from finchswitch.membership.member import Member
-from finchswitch.transport import Book, World, field
+from finchswitch.transport import Book, Message, World, field
 
 __all__ = ["Follower"]
 
@@ -18,11 +21,20 @@
 
 
 class Follower:
-    def __init__(self, world: World, book: Book, news: NewsBook, member: Member) -> None:
+    def __init__(
+        self, world: World, book: Book, news: NewsBook, member: Member, hold_ms: float = FOLLOW_HOLD_MS
+    ) -> None:
         self._world, self._book, self._news, self._member = world, book, news, member
         self._passed: dict[str, float] = {}
         self._behind_ms: float | None = None
         self.source = ""
+        self._hold_ms = hold_ms
+        self._held: anyio.CancelScope | None = None  # an ask to the parent in the tree that is under way
+
+    def look(self) -> None:
+        """Called when others told their generations: a parent that does not bring what is newer is left."""
+        if self._held is not None and self._late():
+            self._held.cancel()
 
     async def follow(self) -> None:
         while True:
@@ -30,9 +42,8 @@
             if not self.source:
                 await self._world.sleep(FOLLOW_HOLD_MS)
                 continue
-            body = {"have": self._news.generations(), "holdMs": FOLLOW_HOLD_MS}
             try:
-                answer = await self._book.ask(self.source, "news.follow", body, PARENT_SILENT_MS)
+                answer = await self._ask()
                 news = field(answer, "news", dict, self.source)
                 moved = self._news.take_in(news, self.source)
                 if news and not moved:
@@ -48,21 +59,35 @@
                 self._passed[self.source] = self._world.now_ms() + ELSEWHERE_MS
                 await self._world.sleep(BEHIND_MS / 10)
 
+    async def _ask(self) -> Message:
+        """One ask; a FleetError SILENT also when it was given up because others hold newer news."""
+        body = {"have": self._news.generations(), "holdMs": int(self._hold_ms)}
+        with anyio.CancelScope() as scope:
+            self._held = None if self._late() else scope
+            try:
+                return await self._book.ask(self.source, "news.follow", body, self._hold_ms + PARENT_SILENT_MS)
+            finally:
+                self._held = None
+        raise FleetError(ErrorKind.SILENT, "news", self.source, "others hold newer news")
+
     async def _snapshot(self) -> None:
         try:
             body = {"have": {}, "holdMs": 0}
-            answer = await self._book.ask(self.source, "news.follow", body, PARENT_SILENT_MS)
+            answer = await self._book.ask(self.source, "news.follow", body, self._hold_ms + PARENT_SILENT_MS)
             self._news.take_in(field(answer, "news", dict, self.source), self.source)
         except FleetError as error:
             _log.info("No snapshot. {}", error)
             self._passed[self.source] = self._world.now_ms() + ELSEWHERE_MS
 
-    def _draw_source(self) -> str:
-        now_ms = self._world.now_ms()
-        have, wants = self._news.generations(), self._member.wants()
+    def _late(self) -> bool:
+        """Whether others have shown newer news for longer than the parent may take to bring it."""
+        now_ms, have, wants = self._world.now_ms(), self._news.generations(), self._member.wants()
         behind = any(generation > have.get(part, -1) for part, generation in wants.items())
         self._behind_ms = (self._behind_ms or now_ms) if behind else None
-        late = self._behind_ms is not None and now_ms - self._behind_ms > BEHIND_MS
+        return self._behind_ms is not None and now_ms - self._behind_ms > BEHIND_MS
+
+    def _draw_source(self) -> str:
+        now_ms, have, late = self._world.now_ms(), self._news.generations(), self._late()
         parent = parent_of(self._member.card["name"], self._member.members)
         addresses = {each["name"]: each["address"] for each in self._member.members}
         choices = [addresses[parent]] if parent in addresses and not late else []
--- a/src/finchswitch/membership/digest.py
+++ b/src/finchswitch/membership/digest.py
@@ -11,7 +11,7 @@
 from finchswitch.constants import HOT_MOST
 from finchswitch.transport import Message
 
-__all__ = ["merged"]
+__all__ = ["freshest", "merged"]
 
 _Word = Message
 
@@ -42,3 +42,13 @@
         highest = sorted(table[1].items(), key=lambda item: (-item[1], item[0]))[: 4 * HOT_MOST]
         table[1] = {digest: round(share, 5) for digest, share in highest}
     return {"burden": burden, "counts": counts}
+
+
+def freshest(views: Iterable[list[Any] | None]) -> list[Any] | None:
+    """Of views of the list, each a mark and an age, the one that was read last; what is none is passed over.
+
+    >>> freshest([["a", 300.0], None, ["b", 20.0], ["", 5.0]])
+    ['b', 20.0]
+    """
+    known = [view for view in views if view is not None and view[0]]
+    return min(known, key=lambda view: float(view[1]), default=None)
--- a/src/finchswitch/membership/member.py
+++ b/src/finchswitch/membership/member.py
@@ -5,7 +5,6 @@
 holds. After any gap it serves again only when what it holds is confirmed.
 """
 
-from collections.abc import Callable
 from enum import Enum
 
 from finchswitch.bounds import Bounds
@@ -16,12 +15,14 @@
     CONTROL_SILENT_MS,
     FORGET_MS,
     PEER_BEAT_MS,
+    PEER_SILENT_BEATS,
     PEER_SILENT_MS,
 )
 from finchswitch.distribution import NewsBook
 from finchswitch.errors import FleetError
 from finchswitch.logs import prefix
 from finchswitch.membership.controls import Controls
+from finchswitch.membership.ring import ring_neighbours
 from finchswitch.membership.tempo import Tempo
 from finchswitch.membership.word import Word, check_beat
 from finchswitch.state_machines import StateMachine, load_transitions
@@ -58,6 +59,7 @@
         self._state_machine = StateMachine(_TRANSITIONS, card["name"])
         bounds = bounds or Bounds()
         self._alone, self._peers_most = bounds.serves_alone, bounds.peers_most
+        self._digest_beat_ms = bounds.digest_beat_ms
         self._members_mark = ""
         self.others: Message | None = None  # what all other nodes say, merged; None where peers are heard one by one
         self.controls = Controls(world, book, card["address"], seeds)
@@ -67,7 +69,8 @@
         self._told: dict[str, int] = {}
         self.peers: dict[str, Message] = {}
         self.heard_ms: dict[str, float] = {}
-        self.tempo = Tempo(world)
+        self.tempo, self.peer_tempo = Tempo(world), Tempo(world)
+        self._fetching = False
 
     @property
     def state(self) -> NodeState:
@@ -83,7 +86,8 @@
         return wanted
 
     def _hears(self, name: str, now_ms: float) -> bool:
-        return now_ms - self.heard_ms.get(name, _NEVER) <= PEER_SILENT_MS
+        silent_ms = max(PEER_SILENT_MS, PEER_SILENT_BEATS * self._peer_beat_ms())
+        return now_ms - self.heard_ms.get(name, _NEVER) <= silent_ms
 
     def known(self) -> list[str]:
         """The other nodes that this one knows: the last list by control, or who spoke before any list came."""
@@ -129,8 +133,15 @@
         """Whether there are more nodes than this one beats, so that it hears of the others in digests only."""
         return self._peers_most is not None and len(self.members) - 1 > self._peers_most
 
-    async def keep_session(self, speak: Callable[[], Message]) -> None:
-        """The session with one control node after another; ``speak()`` gives this node's word for digests."""
+    def hears_digests(self) -> bool:
+        """Whether control lately told what all nodes carry; peers' beats may be further apart then."""
+        return self.many() and self.others is not None and self._controlled()
+
+    def _peer_beat_ms(self) -> float:
+        return self._digest_beat_ms if self.hears_digests() else PEER_BEAT_MS
+
+    async def keep_session(self, own_word: Word) -> None:
+        """The session with one control node after another."""
         while self.state is not NodeState.STOPPING:
             if not self.controls.chosen and not self.controls.elsewhere():
                 await self.controls.ask_seeds()
@@ -138,12 +149,13 @@
                 continue
             body = {**self.card, "generations": self._news.generations()}
             if self.many():
-                body.update({"membersMark": self._members_mark, "word": speak()})
+                body.update({"membersMark": self._members_mark, "word": own_word.digest()})
             asked_ms = self._world.now_ms()
             try:
                 answer = await self._book.ask(self.controls.chosen, "session.beat", body, CONTROL_SILENT_MS)
                 with reading("session", self.controls.chosen):
                     self._hear_control(answer, asked_ms)
+                    own_word.hear_control(asked_ms)
             except FleetError as error:
                 _log.info("No session with {}. {}", self.controls.chosen, error)
                 await self.controls.ask_who(self.controls.chosen)
@@ -173,16 +185,13 @@
             for address in self._drawn_peers():
                 if address != self.card["address"]:
                     own_word.group.start_soon(self._beat_one, address, word, own_word)
-            await self._world.sleep(PEER_BEAT_MS)
+            await self.peer_tempo.pause(self._peer_beat_ms())
 
     def _drawn_peers(self) -> list[str]:
         """Whom to beat: everybody, or of many the next in the order of names, the second, the fourth, and so on."""
         if not self.many():
             return sorted({each["address"] for each in [*self.members, *self.peers.values()]})
-        ring = sorted(self.members, key=lambda each: str(each["name"]))
-        here = next((at for at, each in enumerate(ring) if each["name"] == self.card["name"]), 0)
-        steps = [2**at for at in range(self._peers_most or 1)]
-        return sorted({str(ring[(here + step) % len(ring)]["address"]) for step in steps})
+        return ring_neighbours(self.card["name"], self.members, self._peers_most or 1)
 
     def _forget_silent(self) -> None:
         """Peers that control does not list and that have been silent for long."""
@@ -201,6 +210,16 @@
         except FleetError as error:
             _log.debug("A peer is silent or speaks badly. {}", error)
 
+    async def fetch(self, address: str, own_word: Word) -> None:
+        """Ask a peer at once that showed something newer; one such ask at a time, as many peers show the same."""
+        if self._fetching:
+            return
+        self._fetching = True
+        try:
+            await self._beat_one(address, self.word(own_word), own_word)
+        finally:
+            self._fetching = False
+
     def word(self, own_word: Word) -> Message:
         return {**self.card, "generations": self._news.generations(), **own_word.speak()}
 
--- a/src/finchswitch/membership/sessions.py
+++ b/src/finchswitch/membership/sessions.py
@@ -11,7 +11,7 @@
 
 from finchswitch.constants import CONTROL_GRACE_MS, SESSION_SILENT_MS, TOLD_KEEP_MS
 from finchswitch.logs import prefix
-from finchswitch.membership.digest import merged
+from finchswitch.membership.digest import freshest, merged
 from finchswitch.state_machines import StateMachine, load_transitions
 from finchswitch.transport import Message
 
@@ -42,6 +42,11 @@
         self.beat: Message = {}
         self.line = ""
         self.seen_ms = 0.0
+        self.sent_after_ms = 0.0  # the last beat was sent later than this: when the one before it came
+
+
+def _is_view(view: Any) -> bool:
+    return isinstance(view, list) and len(view) == 2 and isinstance(view[0], str) and isinstance(view[1], (int, float))
 
 
 def dark_may_serve(dark: int, known: int) -> bool:
@@ -61,6 +66,7 @@
         self._told: dict[str, tuple[float, list[Message]]] = {}
         self._words: dict[str, Message] = {}  # what nodes with a session here last said of burdens and crowds
         self._digests: dict[str, tuple[float, Message]] = {}  # the same of other control nodes' nodes, merged
+        self._views: dict[str, tuple[float, Any]] = {}  # by node or store: a view of the list, and since when it ages
 
     def beat(self, name: str, beat: Message, line: str, now_ms: float) -> bool:
         """A node's beat; says whether anything others should hear of has changed."""
@@ -68,17 +74,26 @@
         joined = not session.line or session.state_machine.state is not SessionState.STANDING
         news = joined or beat.get("generations") != session.beat.get("generations")
         session.state_machine.take(SessionEvent.BEAT)
+        session.sent_after_ms = now_ms if joined else session.seen_ms
         session.beat, session.line, session.seen_ms = beat, line, now_ms
         if joined:
             _log.info("Session of {} stands.", name)
         return news
 
-    def hear_word(self, name: str, word: Message) -> None:
+    def hear_word(self, name: str, word: Message, now_ms: float) -> None:
+        """A word's view ages from when it may have been sent, as a beat may lie in a buffer; a first one tells none."""
         self._words[name] = word
+        sent_after_ms = self._own[name].sent_after_ms
+        self._views[name] = (sent_after_ms, word.get("list") if sent_after_ms < now_ms else None)
 
-    def digest(self) -> Message:
+    def digest(self, now_ms: float) -> Message:
         """What the nodes whose sessions stand here say, as one."""
-        return merged(self._standing_words(""))
+        return {**merged(self._standing_words("")), "list": self._view(self._own, now_ms)}
+
+    def _view(self, sources: Iterable[str], now_ms: float) -> list[Any] | None:
+        """The freshest view of the list among these nodes or stores."""
+        views = [self._views[each] for each in sources if each in self._views]
+        return freshest([view[0], view[1] + now_ms - since_ms] for since_ms, view in views if _is_view(view))
 
     def _standing_words(self, but: str) -> list[Message]:
         standing = {name for name, own in self._own.items() if own.state_machine.state is SessionState.STANDING}
@@ -87,10 +102,13 @@
     def others(self, name: str, now_ms: float) -> Message:
         """What all nodes but this one say, as one."""
         fresh = [digest for at_ms, digest in self._digests.values() if now_ms - at_ms <= SESSION_SILENT_MS]
-        return merged([*self._standing_words(name), *fresh])
+        return {**merged([*self._standing_words(name), *fresh]), "list": self._view(self._views, now_ms)}
 
-    def told_digest(self, store: str, digest: Message, now_ms: float) -> None:
+    def told_digest(self, store: str, digest: Message, now_ms: float, asked_ms: float | None) -> None:
+        """Another control node's digest; its view of the list counts only in an answer, from when that was asked."""
         self._digests[store] = (now_ms, digest)
+        if asked_ms is not None:
+            self._views[store] = (asked_ms, digest.get("list"))
 
     def leave(self, name: str) -> None:
         session = self._own.get(name)
--- a/src/finchswitch/membership/word.py
+++ b/src/finchswitch/membership/word.py
@@ -11,7 +11,11 @@
 
 
 class Word(Protocol):
-    """What a node adds to its beats to peers: burden, leaving runners, duties."""
+    """What a node adds to its beats, and what it does with what others add to theirs.
+
+    ``speak`` and ``hear`` are for peers. ``digest`` is for control where there are many nodes; ``hear_control`` follows
+    each answer of control, whose content is in the member.
+    """
 
     group: TaskGroup
 
@@ -19,6 +23,10 @@
 
     def hear(self, beat: Message, since_ms: float) -> None: ...
 
+    def digest(self) -> Message: ...
+
+    def hear_control(self, since_ms: float) -> None: ...
+
 
 _NUMBER = (int, float)
 # The shape of each field: a type, a list of one shape, a tuple of shapes, or a dict from strings to one shape.
--- a/src/finchswitch/platform/settings.py
+++ b/src/finchswitch/platform/settings.py
@@ -10,7 +10,14 @@
 from returns.result import Failure, Result, Success
 
 from finchswitch.bounds import Bounds
-from finchswitch.constants import DELIVERY_WAIT_MS, LIST_POLL_MS, PEERS_MOST, REPLACE_AFTER_MS
+from finchswitch.constants import (
+    DELIVERY_WAIT_MS,
+    FOLLOW_HOLD_MS,
+    LIST_POLL_MS,
+    PEER_BEAT_MS,
+    PEERS_MOST,
+    REPLACE_AFTER_MS,
+)
 from finchswitch.programs.startup import Startup, address_faults
 
 __all__ = ["BOOT", "read_settings"]
@@ -100,7 +107,7 @@
     def bound(name: str) -> float:
         return reader.number("timing_bounds", name)
 
-    grace_ms = 1000 * bound("grace_s")
+    grace_ms, drain_ms = 1000 * bound("grace_s"), bound("drain_ms")
     tolerance = max(int(reader.number("fault_tolerance", each)) for each in ("machines", "zones", "regions"))
     return Bounds(
         tolerance=tolerance,
@@ -108,9 +115,11 @@
         delivery_wait_ms=min(DELIVERY_WAIT_MS, 0.15 * bound("ack_ms")),
         founds=reader.get("first_start") is True,
         serves_alone=True,
-        list_poll_ms=max(LIST_POLL_MS, 0.25 * bound("drain_ms")),
+        list_poll_ms=max(LIST_POLL_MS, 0.25 * drain_ms),
         list_shared=True,
         peers_most=PEERS_MOST,
+        digest_beat_ms=max(PEER_BEAT_MS, 0.25 * drain_ms),
+        follow_hold_ms=max(FOLLOW_HOLD_MS, 0.4 * bound("config_apply_ms")),
         vitals_poll_ms=0,
         tries_window_ms=1000 * bound("budget_window_s"),
         tries_fleet_floor=0.75 * bound("budget_extra"),
--- a/src/finchswitch/platform/stand_in_fleet.py
+++ b/src/finchswitch/platform/stand_in_fleet.py
@@ -39,7 +39,7 @@
 
 DEPLOYMENT = Deployment("site", ["hill", "hill", "lake"], cores=3, runners=3, slots=16, traffic=[])
 _CLOUD = "10.0.0.2:8001"
-_BOUNDS = {"catch_up_s": 4, "ack_ms": 4000, "drain_ms": 3000, "grace_s": 8}
+_BOUNDS = {"catch_up_s": 4, "ack_ms": 4000, "drain_ms": 3000, "grace_s": 8, "config_apply_ms": 2000}
 _BUDGET = {"retry_budget_ratio": 0.2, "budget_window_s": 10, "budget_extra": 52}
 
 
--- a/src/finchswitch/router/asks.py
+++ b/src/finchswitch/router/asks.py
@@ -13,8 +13,8 @@
 async def run_node(node: Node) -> None:
     """Run a routing node's planes until cancelled; callers are served beside it."""
     async with serve_asks(node.world, node.startup.address, node.group) as inbox:
-        node.group.start_soon(node.member.keep_session, node.digest)
-        node.group.start_soon(node.member.beat_peers, node)
+        node.group.start_soon(node.member.keep_session, node.word)
+        node.group.start_soon(node.member.beat_peers, node.word)
         node.group.start_soon(node.follower.follow)
         node.group.start_soon(node.roster.poll, node.duties.reads_list)
         node.group.start_soon(node.duties.tend)
@@ -29,7 +29,9 @@
     if asked.kind == "peer.beat":
         node.member.meet_peer(asked.body)
         node.roster.hear_leaving(asked.body["leaving"])
-        return {**node.member.word(node), "list": node.roster.spoken(asked.body)}
+        if node.roster.is_older_than(asked.body):
+            node.group.start_soon(node.member.fetch, asked.body["address"], node.word)
+        return {**node.member.word(node.word), "list": node.roster.spoken(asked.body)}
     if asked.kind == "news.follow":
         return await node.news.answer_follower(asked.body, asked.peer)
     if asked.kind == "peer.who":
--- a/src/finchswitch/router/node.py
+++ b/src/finchswitch/router/node.py
@@ -31,7 +31,8 @@
 from finchswitch.router.sent import Sent
 from finchswitch.router.tries import Tries
 from finchswitch.router.watch import Watch
-from finchswitch.transport import Book, Message, World
+from finchswitch.router.word import NodeWord
+from finchswitch.transport import Book, World
 
 __all__ = ["Node"]
 
@@ -57,13 +58,15 @@
             "incarnation": world.chance.randbytes(6).hex(),
         }
         self.member = Member(world, self.book, self.news, card, startup.seeds, self.bounds)
-        self.follower = Follower(world, self.book, self.news, self.member)
+        self.follower = Follower(world, self.book, self.news, self.member, self.bounds.follow_hold_ms)
         client = httpx.AsyncClient(transport=world.http_transport(), trust_env=False)
         self.roster = Roster(world, lister(client, startup.platform), self, self.bounds, self.dialect.kept)
+        self.roster.changed = self.member.peer_tempo.kick
         self.beliefs, self.burdens = Beliefs(), Burdens()
         self.draws = Draws(self.beliefs, self.burdens, world.chance)
         self.crowds, self.watch = Crowds(self), Watch(self)
         self.tries, self.duties = Tries(self.bounds.tries_window_ms), Duties(self)
+        self.word = NodeWord(self)
         self.underway: set[str] = set()
         self.sent = Sent()
         self.vitals = dict.fromkeys(("asked", "complete", "broken", "not-run", "unknown", "granted"), 0)
@@ -216,31 +219,3 @@
         self.vitals["granted"] += 1
         self.ways[drawn.way.value] = self.ways.get(drawn.way.value, 0) + 1
         return Seat(self.world, drawn, self.burdens, self.beliefs)
-
-    def speak(self) -> Message:
-        """What this node adds to its beats to peers."""
-        now_ms = self.world.now_ms()
-        return {
-            "burden": self.burdens.spoken(now_ms),
-            "held": self.beliefs.spoken(now_ms),
-            "pace": self.burdens.paces.spoken(now_ms),
-            "leaving": self.roster.leaving(),
-            "listAgeMs": self.roster.list_age_ms(),
-            "listMark": self.roster.mark,
-            "counts": self.crowds.called(),
-            "vitals": self.duties.words(),
-        }
-
-    def digest(self) -> Message:
-        """What this node tells of burdens and crowds where the fleet is too large to tell everybody."""
-        return {"burden": self.burdens.spoken(self.world.now_ms()), "counts": self.crowds.called()}
-
-    def hear(self, beat: Message, since_ms: float) -> None:
-        """What a peer's answer to a beat of that moment added."""
-        self.roster.hear_peer(beat, since_ms)
-        self.duties.hear(beat["vitals"])
-        heard = self.member.heard_peers()
-        self.beliefs.hear_peers(heard)
-        if self.member.others is not None:
-            heard = [{**self.member.others, "pace": {}}]
-        self.burdens.hear_peers(heard, self.world.now_ms())
--- a/src/finchswitch/router/roster.py
+++ b/src/finchswitch/router/roster.py
@@ -8,6 +8,7 @@
 
 import hashlib
 import json
+from collections.abc import Callable
 from dataclasses import astuple
 from enum import Enum
 from typing import Any
@@ -81,6 +82,7 @@
         self._read_ms = -1e18  # when what is held of the list was read, here or by a peer
         self._heard_ms = -1e18
         self._leaving_told: set[str] = set()
+        self.changed: Callable[[], None] = lambda: None  # called when another list is held than before
 
     async def poll(self, reads: Any) -> None:
         """Read the list again and again; ``reads()`` says whether it falls to this node to read for all."""
@@ -118,7 +120,9 @@
         self._rows = listed
         if self._bounds.list_shared:
             rows = json.dumps([astuple(each) for each in listed])
-            self.mark = hashlib.sha256(rows.encode()).hexdigest()[:12]
+            before, self.mark = self.mark, hashlib.sha256(rows.encode()).hexdigest()[:12]
+            if self.mark != before:
+                self.changed()
         here = {each.incarnation for each in listed}
         for each in listed:
             known = self.known.get(each.incarnation)
@@ -146,6 +150,20 @@
             return []
         return [list(astuple(each)) for each in self._rows]
 
+    def is_older_than(self, beat: Message) -> bool:
+        """Whether a peer's beat shows another list, read later than the one held here."""
+        other = bool(beat.get("listMark")) and beat["listMark"] != self.mark
+        return self._bounds.list_shared and other and beat["listAgeMs"] < self.list_age_ms()
+
+    def view(self) -> list[Any]:
+        """The mark of the list as held, and its age."""
+        return [self.mark, self.list_age_ms()]
+
+    def hear_view(self, view: Any, since_ms: float) -> None:
+        """The freshest view among all nodes, as control told it: the same list as held here is known to be newer."""
+        if isinstance(view, list) and self._bounds.list_shared and self.mark and view[0] == self.mark:
+            self._read_ms = max(self._read_ms, since_ms - view[1])
+
     def hear_peer(self, beat: Message, since_ms: float) -> None:
         """A peer's answer to a beat sent at ``since_ms``: who it saw leaving, how old its list was, and the list."""
         self.hear_leaving(beat["leaving"])
--- a/src/finchswitch/simulation/hollow.py
+++ b/src/finchswitch/simulation/hollow.py
@@ -84,7 +84,7 @@
         card = {"name": startup.name, "address": startup.address, "http": startup.http, "district": startup.district}
         card["incarnation"] = world.chance.randbytes(6).hex()
         self.member = Member(world, book, self.news, card, startup.seeds, startup.bounds)
-        self.follower = Follower(world, book, self.news, self.member)
+        self.follower = Follower(world, book, self.news, self.member, startup.bounds.follow_hold_ms)
 
     def speak(self) -> Message:
         empty: Message = {name: {} for name in ("burden", "held", "pace", "counts", "vitals")}
@@ -96,9 +96,13 @@
     def hear(self, beat: Message, since_ms: float) -> None:
         """An empty word tells nothing."""
 
+    def hear_control(self, since_ms: float) -> None:
+        """Nothing but news is of interest here."""
+        self.follower.look()
+
     async def run(self) -> None:
         async with serve_asks(self._world, self._startup.address, self.group) as inbox:
-            self.group.start_soon(self.member.keep_session, self.digest)
+            self.group.start_soon(self.member.keep_session, self)
             self.group.start_soon(self.member.beat_peers, self)
             self.group.start_soon(self.follower.follow)
             async for asked in inbox:
--- a/src/finchswitch/simulation/slopes_memory.py
+++ b/src/finchswitch/simulation/slopes_memory.py
@@ -83,7 +83,7 @@
     node, other = make_node("transit-001"), make_node("transit-002")
     for row in rows_of(10):
         other.burdens.take(row, row.incarnation, 100.0, 0.1, other.world.now_ms())
-    word = json.dumps({**other.member.word(other), "list": []})
+    word = json.dumps({**other.member.word(other.word), "list": []})
     for at in range(count):
         node.member.hear_peer({**json.loads(word), "name": f"transit-{at:03d}"}, node.world.now_ms())
     return node
@@ -93,7 +93,7 @@
     """Peers' last words, each with what a node at the users' size tells."""
     node, other = make_node("transit-001"), make_node("transit-002")
     fill_node(other)
-    word = json.dumps({**other.member.word(other), "list": []})
+    word = json.dumps({**other.member.word(other.word), "list": []})
     for at in range(count):
         node.member.hear_peer({**json.loads(word), "name": f"transit-{at:03d}"}, node.world.now_ms())
     return node
--- a/src/finchswitch/simulation/slopes_nodes.py
+++ b/src/finchswitch/simulation/slopes_nodes.py
@@ -80,19 +80,19 @@
             fill(node, size)
 
         def exchange() -> int:
-            ask = _frame(asker.member.word(asker), "peer.beat")
+            ask = _frame(asker.member.word(asker.word), "peer.beat")
             body = _read(ask)
             answerer.member.meet_peer(body)
             answerer.roster.hear_leaving(body["leaving"])
-            answer = _frame({**answerer.member.word(answerer), "list": answerer.roster.spoken(body)})
+            answer = _frame({**answerer.member.word(answerer.word), "list": answerer.roster.spoken(body)})
             heard = _read(answer)
             asker.member.hear_peer(heard, asker.world.now_ms())
-            asker.hear(heard, asker.world.now_ms())
+            asker.word.hear(heard, asker.world.now_ms())
             return len(ask) + len(answer)
 
-        word = _frame(asker.member.word(asker), "peer.beat")
+        word = _frame(asker.member.word(asker.word), "peer.beat")
         quantities = {"bytes": float(exchange()), "exchange_us": timed_us(exchange, effort_ms)}
-        quantities["word_us"] = timed_us(lambda: asker.member.word(asker), effort_ms)
+        quantities["word_us"] = timed_us(lambda: asker.member.word(asker.word), effort_ms)
         quantities["check_us"] = timed_us(lambda: check_beat(_read(word)), effort_ms)
         return quantities
 
@@ -110,7 +110,7 @@
     async def measure(peers: int, effort_ms: float) -> Quantities:
         node, other = make_node("transit-001"), make_node("transit-002")
         fill(other)
-        word = {**other.member.word(other), "list": []}
+        word = {**other.member.word(other.word), "list": []}
         for at in range(peers):
             node.member.hear_peer({**word, "name": f"transit-{at:03d}"}, node.world.now_ms())
 
@@ -118,7 +118,7 @@
             now_ms = node.world.now_ms()
             for name in node.member.heard_ms:
                 node.member.heard_ms[name] = now_ms
-            node.hear(word, now_ms)
+            node.word.hear(word, now_ms)
 
         return {"hear_us": timed_us(hear, effort_ms), "wants_us": timed_us(node.member.wants, effort_ms)}
 
--- a/src/finchswitch/transport/link.py
+++ b/src/finchswitch/transport/link.py
@@ -71,7 +71,7 @@
     async def ask(self, address: str, kind: str, body: Message, wait_ms: float = ASK_WAIT_MS) -> Message:
         """Send one ask and return its answer; a FleetError SILENT means that its fate is open."""
         step = f"ask {kind}"
-        with anyio.move_on_after(wait_ms / 1000):
+        with anyio.move_on_after(wait_ms / 1000) as scope:
             link = await self._link(address, step)
             number = next(link.numbers)
             send, receive = anyio.create_memory_object_stream[Message](1)
@@ -86,8 +86,8 @@
                 raise FleetError(ErrorKind.SILENT, step, address, "connection lost") from None
             finally:
                 link.pending.pop(number, None)
-                if not answered and link.received == before:
-                    self._drop(address, link)
+                if not answered and link.received == before and scope.cancel_called:
+                    self._drop(address, link)  # silent; one who only gave up asking leaves the link to the others
             if "mishap" in answer:
                 raise FleetError(ErrorKind.REFUSED, step, address, str(answer["mishap"]))
             content: Message = field(answer, "body", dict, address)
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -31,6 +31,7 @@
         "ack_ms": 4000,
         "drain_ms": 3000,
         "grace_s": 8,
+        "config_apply_ms": 2000,
         "retry_budget_ratio": 0.2,
         "budget_window_s": 10,
         "budget_extra": 52,
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -103,7 +103,7 @@
     async def scene(cluster):
         await open_up(cluster)
         node = cluster.processes["transit1"].node
-        good = node.member.word(node)
+        good = node.member.word(node.word)
         async with anyio.create_task_group() as group:
             book = Book(cluster.outside, group)
             for field, value in [("burden", {"x": [1]}), ("pace", {"x": "y"}), ("counts", []), ("held", {"x": 1})]:
