Large fleets: peers beat less often, followers' asks are held longer, a new list is pushed

Cause: of the 79 messages a second that an idle routing node sends at 73 nodes, 64 were beats of peers (8 peers each 250 ms) and 10 asks of news held 200 ms. Each answer of a peer also put the load of the whole fleet together anew.

A node whose list changed beats its peers at once, and they ask it back; the list's age travels with the digests, counted from when it may have been sent, so a view that lay in a buffer does not look fresh.

Tests: a change with a dark parent in 800 ms with asks held 8 s; a new list at all nodes 100 ms after its reading with beats 8 s apart; ageing of views; messages. The first two were seen failing with their mechanism taken out.

--- a/src/finchswitch/bounds.py
+++ b/src/finchswitch/bounds.py
@@ -35,8 +35,12 @@
     list_shared: bool = False  # one node reads the list for all, the others hear of it
     vitals_poll_ms: float = VITALS_POLL_MS  # between two readings of a runner's vitals; 0 for none
     peers_most: int | None = None  # peers that a node beats; None for all, which grows with the square of the fleet
-    digest_beat_ms: float = PEER_BEAT_MS  # between two beats to a peer while control tells what all nodes carry
-    follow_hold_ms: float = FOLLOW_HOLD_MS  # a parent with nothing new answers a follower after this
+    # Between two beats to a peer while control tells what all nodes carry. A changed list does not wait for it: it is
+    # pushed to the peers, and its age comes with each answer of control.
+    digest_beat_ms: float = PEER_BEAT_MS
+    # A parent with nothing new answers a follower after this. A change does not wait for it: what control or a peer
+    # tells ends the ask when the parent is late.
+    follow_hold_ms: float = FOLLOW_HOLD_MS
     tries_window_ms: float = TRIES_WINDOW_MS  # extra tries are counted over this window
     tries_fleet_floor: float | None = None  # extra tries that the whole fleet may make beside the share of traffic
     tries_share: float | None = None  # the share; the configuration's where none is given here
--- a/src/finchswitch/simulation/hollow.py
+++ b/src/finchswitch/simulation/hollow.py
@@ -17,7 +17,7 @@
 from trio.testing import MockClock
 
 from finchswitch.bounds import Bounds
-from finchswitch.constants import CONFIGURATION_PART
+from finchswitch.constants import CONFIGURATION_PART, FOLLOW_HOLD_MS, PEER_BEAT_MS
 from finchswitch.control.changes import take_change
 from finchswitch.control.control_node import ControlNode
 from finchswitch.control.server import run_control_node
@@ -48,6 +48,13 @@
     changes: int = 3
     seed: int = 1
     peers_most: int | None = None  # None beats every peer
+    digest_beat_ms: float = PEER_BEAT_MS
+    follow_hold_ms: float = FOLLOW_HOLD_MS
+
+    def bounds(self) -> Bounds:
+        return Bounds(
+            peers_most=self.peers_most, digest_beat_ms=self.digest_beat_ms, follow_hold_ms=self.follow_hold_ms
+        )
 
 
 class _CountedNet(Net):
@@ -129,7 +136,7 @@
 
         def startup(name: str, host: str, zone: int) -> Startup:
             place = (f"{host}:7100", f"{host}:8000", f"zone-{zone}")
-            return Startup(name, *place, seeds, bounds=Bounds(peers_most=run.peers_most))
+            return Startup(name, *place, seeds, bounds=run.bounds())
 
         councils, nodes = [], []
         for at in range(run.controls):
--- a/tests/test_digest.py
+++ b/tests/test_digest.py
@@ -6,26 +6,36 @@
 import httpx
 
 from finchswitch.bounds import Bounds
+from finchswitch.control.changes import take_change
 from finchswitch.errors import FleetError
+from finchswitch.membership.sessions import Sessions
 from finchswitch.router.roster import Roster
 from finchswitch.simulation.cluster import Cluster
 from finchswitch.simulation.deployments import VILLAGE
 from finchswitch.simulation.hollow import HollowRun, run_hollow
 from finchswitch.simulation.play import in_virtual_time
-from finchswitch.simulation.scenes import open_up
+from finchswitch.simulation.scenes import mark_edit, open_up
 
 
 class Large(Cluster):
     """A small fleet that beats one peer each, as if it were too large."""
 
+    bounds = Bounds(peers_most=1)
+
     def _startup(self, process):
-        return replace(super()._startup(process), bounds=Bounds(peers_most=1))
+        return replace(super()._startup(process), bounds=self.bounds)
+
+
+class Slow(Large):
+    """The same with beats and held asks so far apart that nothing may wait for the next."""
+
+    bounds = Bounds(peers_most=1, list_shared=True, digest_beat_ms=8_000.0, follow_hold_ms=8_000.0)
 
 
-def play_large(scene):
+def play_large(scene, kind=Large):
     async def run():
         async with anyio.create_task_group() as group:
-            cluster = Large(VILLAGE, 1, group)
+            cluster = kind(VILLAGE, 1, group)
             cluster.start_all()
             await scene(cluster)
             group.cancel_scope.cancel()
@@ -77,6 +87,67 @@
     play_large(scene)
 
 
+def test_longer_beats_and_held_asks_send_less_and_a_change_is_as_fast():
+    short, long = (
+        run_hollow(HollowRun(24, watch_s=4.0, changes=2, peers_most=8, digest_beat_ms=beat, follow_hold_ms=hold))
+        for beat, hold in ((250.0, 200.0), (1_000.0, 1_000.0))
+    )
+    assert long["nodeMessagesPerS"] < 0.4 * short["nodeMessagesPerS"]
+    assert all(delay_ms < 100 for delay_ms in long["inForceMs"])
+
+
+def test_a_changed_list_reaches_all_at_once_and_its_age_without_peers():
+    async def scene(cluster):
+        await open_up(cluster)
+        await cluster.outside.sleep(10_000)
+        rosters = [process.node.roster for process in cluster.of_kind("transit")]
+        reads = sum(1 for process in cluster.of_kind("transit") if process.node.duties.reads_list())
+        assert reads == 1
+        assert all(roster.list_age_ms() < 2 * Slow.bounds.list_poll_ms for roster in rosters)
+        incarnation = next(iter(cluster.platform.points))
+        cluster.leave(incarnation)
+        await cluster.outside.sleep(Slow.bounds.list_poll_ms + 100)
+        assert all(incarnation in roster.leaving() for roster in rosters)
+
+    play_large(scene, Slow)
+
+
+def test_a_dark_parent_that_holds_asks_for_long_does_not_delay_a_change():
+    async def scene(cluster):
+        await open_up(cluster)
+        await cluster.outside.sleep(1_000)
+        nodes = {process.name: process.node for process in cluster.of_kind("transit")}
+        addresses = {node.member.card["address"]: name for name, node in nodes.items()}
+        parents = {addresses[node.follower.source] for node in nodes.values() if node.follower.source in addresses}
+        dark = sorted(parents)[0]
+        cluster.kill(dark, power=True)
+        change = {**mark_edit("mark-dark"), "base": nodes[dark].generation(), "changeId": "dark"}
+        owner = next(p.control for p in cluster.of_kind("accord") if p.control.proposers["creed"].owns())
+        began_ms = owner.world.now_ms()
+        async with anyio.create_task_group() as group:
+            group.start_soon(take_change, owner, change)
+            rest = [node for name, node in nodes.items() if name != dark]
+            with anyio.fail_after(5):
+                while any("mark-dark" not in node.configuration().services for node in rest):
+                    await cluster.outside.sleep(10)
+            assert owner.world.now_ms() - began_ms < 800
+
+    play_large(scene, Slow)
+
+
+def test_a_view_of_the_list_ages_from_when_it_may_have_been_sent():
+    sessions = Sessions()
+    beat = {"generations": {}}
+    for now_ms in (1_000.0, 5_000.0):  # the second was sent any time between, and may have lain in a buffer
+        sessions.beat("n1", beat, "line", now_ms)
+        sessions.hear_word("n1", {"list": ["mark", 300.0]}, now_ms)
+    assert sessions.others("n2", 5_100.0)["list"] == ["mark", 4_400.0]
+    sessions.told_digest("s2", {"list": ["other", 10.0]}, 5_100.0, None)
+    assert sessions.others("n2", 5_100.0)["list"] == ["mark", 4_400.0]
+    sessions.told_digest("s2", {"list": ["other", 10.0]}, 5_100.0, 5_050.0)
+    assert sessions.others("n2", 5_100.0)["list"] == ["other", 60.0]
+
+
 def test_readers_that_share_a_rate_wait_longer_each_time_the_list_cannot_be_read():
     class Refusing:
         def __init__(self):
