--- a/src/finchswitch/control/control_node.py
+++ b/src/finchswitch/control/control_node.py
@@ -37,6 +37,7 @@
     def __init__(self, world: World, disk: Disk, startup: Any, group: TaskGroup) -> None:
         self.world, self.startup, self.group = world, startup, group
         self.started_ms = world.now_ms()
+        self.leaving = False  # a planned stop is under way
         self.bounds: Bounds = startup.bounds
         self.group_size = 2 * self.bounds.tolerance + 1  # acceptors a part: a majority is left after the losses
         self.store = Store(world, disk, startup.name, self.bounds.founds)
@@ -128,6 +129,7 @@
             "generations": self.news.generations(),
             "sessions": self.sessions.own(now_ms),
             "digest": self.sessions.digest(now_ms),
+            **({"leaving": True} if self.leaving else {}),
         }
 
     def hear_control_peer(self, body: Message, peer: str, asked_ms: float | None) -> None:
--- a/src/finchswitch/control/proposer.py
+++ b/src/finchswitch/control/proposer.py
@@ -83,3 +83,11 @@
     def _send(self, requests: list[VoteRequest], wait_ms: float, back: Any) -> None:
         for request in requests:
             self._voters.later(request.store, request.kind.value, request.body, wait_ms, back)
+
+    async def resign(self) -> bool:
+        """Stop owning between two commits, so that another member may stand; False where this one owns nothing."""
+        async with self._lock:
+            if not self.owns():
+                return False
+            self.step_down("Handed over.")
+            return True
--- a/src/finchswitch/control/server.py
+++ b/src/finchswitch/control/server.py
@@ -5,6 +5,7 @@
 from finchswitch.control.control_node import ControlNode
 from finchswitch.control.document import digest_of, part_names
 from finchswitch.control.elections import tend_node, tend_part
+from finchswitch.control.leaving import show_group, stand_now
 from finchswitch.errors import ErrorKind, FleetError
 from finchswitch.logs import prefix
 from finchswitch.transport import GONE, Asked, Message, field, serve_asks, settle
@@ -52,6 +53,11 @@
         return await confirm_current(control, passed=True)
     if asked.kind == "part.edit":
         return await edit_part(control, asked.body)
+    if asked.kind in ("part.stand", "part.group"):
+        part = field(asked.body, "part", str, asked.peer)
+        if part not in control.proposers:
+            raise FleetError(ErrorKind.REFUSED, asked.kind, part, "no such part")
+        return await stand_now(control, part) if asked.kind == "part.stand" else show_group(control, part)
     if asked.kind.startswith("vote."):
         shown = control.replicas.answer(asked.kind, asked.body)
         if asked.kind == "vote.commit" and shown:
--- a/src/finchswitch/membership/control_peers.py
+++ b/src/finchswitch/membership/control_peers.py
@@ -35,6 +35,7 @@
     may_found: bool = False
     proposal: list[str] = field(default_factory=list)
     digest: Message = field(default_factory=dict)
+    leaving: bool = False  # a planned stop is under way
     heard_ms: float = 0.0
     asked_ms: float = field(default=-1e18)
 
@@ -57,6 +58,7 @@
             may_found=body.get("mayFound") is True,
             proposal=[str(store) for store in body.get("proposal", [])],
             digest=body.get("digest", {}),
+            leaving=body.get("leaving") is True,
         )
 
 
--- a/src/finchswitch/programs/accord.py
+++ b/src/finchswitch/programs/accord.py
@@ -8,8 +8,9 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from finchswitch.constants import CHANGE_WAIT_MS
+from finchswitch.constants import CHANGE_WAIT_MS, LEAVE_WAIT_MS, STOP_CLOSE_MS
 from finchswitch.control.control_node import ControlNode
+from finchswitch.control.leaving import leave
 from finchswitch.control.operator_api import make_operator_api
 from finchswitch.control.server import run_control_node
 from finchswitch.logs import prefix
@@ -17,7 +18,7 @@
 from finchswitch.storage import RealDisk
 from finchswitch.transport.real import RealWorld
 
-__all__ = ["run_accord", "serve_accord"]
+__all__ = ["run_accord", "serve_accord", "stop_control_node"]
 
 _log = prefix("accord")
 
@@ -45,10 +46,20 @@
                 break
             control.control_peers.new_seeds(seeds())
     _log.info("Stopping.")
+    await stop_control_node(control, stop, closed)
+    group.cancel_scope.cancel()
+
+
+async def stop_control_node(control: ControlNode, stop: anyio.Event, closed: anyio.Event) -> bool:
+    """Close the desk and hand over within the deployment's grace time; whether all was handed over."""
+    began_ms, grace_ms = control.world.now_ms(), control.bounds.grace_ms
     stop.set()
-    with anyio.move_on_after(CHANGE_WAIT_MS / 1000):
+    most_ms = LEAVE_WAIT_MS if grace_ms is None else grace_ms
+    left = await leave(control, most_ms - STOP_CLOSE_MS)
+    open_ms = min(began_ms + CHANGE_WAIT_MS, began_ms + most_ms) - control.world.now_ms()
+    with anyio.move_on_after(max(STOP_CLOSE_MS, open_ms) / 1000):
         await closed.wait()  # a change under way gets its answer
-    group.cancel_scope.cancel()
+    return left
 
 
 async def _serve(world: RealWorld, desk: Any, address: str, stop: anyio.Event, closed: anyio.Event) -> None:
