--- a/src/finchswitch/constants.py
+++ b/src/finchswitch/constants.py
@@ -35,13 +35,14 @@
 # Accord
 PARTS: Final = 4  # parts for services; few services today, a handful keeps owners spread over three cores
 CONFIGURATION_PART: Final = "creed"  # the part that holds the configuration
-PREPARE_WAIT_MS: Final = 500  # a ballot waits this long for its majority
+PREPARE_WAIT_MS: Final = 900  # a ballot waits this long for its majority
 ACCEPT_WAIT_MS: Final = 900  # a commit waits this long, then its fate is unknown
 STAND_PAUSE_MS: Final = 100  # pause before standing again, spread by up to as much, so rivals miss each other
+STAND_PAUSE_MOST_MS: Final = 800  # the pause doubles up to this: on slow disks rivals of several parts need room
 STAND_TRIES: Final = 3  # of one that was asked to take over; the first may find a higher promise
 LEAVE_WAIT_MS: Final = 5_000  # a leaving control node hands over for no longer, where no grace time is given
 LEAVE_LOOK_MS: Final = 50  # between two looks at whether a leaving node's places have been taken; a quarter beat
-STAND_TURN_MS: Final = 700  # how long the later wait for those before them to stand; over a ballot's own wait
+STAND_TURN_MS: Final = 1_000  # how long the later wait for those before them to stand; over a ballot's own wait
 REPLACE_AFTER_MS: Final = 4_000  # a group member silent this long may give its place to an empty store
 RECENT_MOST: Final = 256  # orders that a document of the version before remembers; a full list has dropped some
 ORDERS_A_BLOCK: Final = 64  # orders kept in one block; a commit sends the last block, at most 1.6 kB
--- a/src/finchswitch/control/control_node.py
+++ b/src/finchswitch/control/control_node.py
@@ -38,6 +38,7 @@
         self.world, self.startup, self.group = world, startup, group
         self.started_ms = world.now_ms()
         self.leaving = False  # a planned stop is under way
+        self.reconfiguring = anyio.Lock()  # one group changes at a time: a slow disk takes one write after the other
         self.bounds: Bounds = startup.bounds
         self.group_size = 2 * self.bounds.tolerance + 1  # acceptors a part: a majority is left after the losses
         self.store = Store(world, disk, startup.name, self.bounds.founds)
--- a/src/finchswitch/control/elections.py
+++ b/src/finchswitch/control/elections.py
@@ -11,6 +11,7 @@
 from finchswitch.constants import (
     BEAT_MS,
     SESSION_SILENT_MS,
+    STAND_PAUSE_MOST_MS,
     STAND_PAUSE_MS,
     STAND_TURN_MS,
 )
@@ -53,9 +54,12 @@
 async def tend_part(control: "ControlNode", part: str) -> None:
     """One part's care, as a loop of its own."""
     proposer, world, owned_ms = control.proposers[part], control.world, control.world.now_ms()
-    reconfigurer = Reconfigurer(control, part)
+    reconfigurer, pause_ms = Reconfigurer(control, part), float(STAND_PAUSE_MS)
     while True:
+        slept_ms = world.now_ms()
         await world.sleep(BEAT_MS / 4)
+        if world.now_ms() - slept_ms > BEAT_MS:  # this node itself was held up, so it first hears what waits for it
+            owned_ms = world.now_ms() + BEAT_MS
         document = control.store.acceptors[part].document
         if control.owner_of(part, world.now_ms())[0]:
             owned_ms = world.now_ms()
@@ -65,10 +69,14 @@
             if proposer.owns():
                 await reconfigurer.step()
             elif _should_stand(control, part, document, world.now_ms(), owned_ms):
-                if await proposer.stand(document):
+                async with control.reconfiguring:
+                    stood = await proposer.stand(document)
+                if stood:
                     control.announce(part)
+                    pause_ms = float(STAND_PAUSE_MS)
                 else:
-                    await world.sleep(STAND_PAUSE_MS + world.chance.uniform(0, STAND_PAUSE_MS))
+                    await world.sleep(pause_ms + world.chance.uniform(0, pause_ms))
+                    pause_ms = min(2 * pause_ms, STAND_PAUSE_MOST_MS)
         except FleetError as error:
             proposer.step_down("An error.")
             _log.warning("Tending {} met an error. {}", part, error)
--- a/src/finchswitch/control/reconfiguration.py
+++ b/src/finchswitch/control/reconfiguration.py
@@ -157,5 +157,6 @@
         return answer.get("yes") is True
 
     async def _commit(self, document: Document, group: list[str]) -> None:
-        await self._proposer.commit(document, succeed(document, document["body"], None, group))
+        async with self._control.reconfiguring:
+            await self._proposer.commit(document, succeed(document, document["body"], None, group))
         self._control.announce(self._part)
--- a/src/finchswitch/simulation/cluster.py
+++ b/src/finchswitch/simulation/cluster.py
@@ -17,6 +17,7 @@
 from finchswitch.control.control_node import ControlNode
 from finchswitch.control.operator_api import make_operator_api
 from finchswitch.control.server import run_control_node
+from finchswitch.programs.accord import stop_control_node
 from finchswitch.programs.startup import Startup
 from finchswitch.programs.transit import stop_node
 from finchswitch.router.asks import run_node
@@ -125,30 +126,29 @@
 
     def _startup(self, process: Process) -> Startup:
         place = (f"{process.host}:7100", f"{process.host}:8000", process.district)
-        return Startup(process.name, *place, self._seeds, platform="10.0.0.2:8001", data="memory")
+        bounds = self.deployment.bounds
+        return Startup(process.name, *place, self._seeds, platform="10.0.0.2:8001", data="memory", bounds=bounds)
 
     async def _run_accord(self, process: Process, group: TaskGroup) -> None:
         world = self._world(process.host)
         world.formats = process.formats
         disk = self.disks.setdefault(process.name, SimDisk(self.net.machine(process.host)))
         process.control = ControlNode(world, disk, self._startup(process), group)
-        process.stop = anyio.Event()
-        group.start_soon(world.serve_http, make_operator_api(process.control), f"{process.host}:8000", process.stop)
+        group.start_soon(self._serve, process, world, make_operator_api(process.control))
         await run_control_node(process.control)
 
     async def _run_transit(self, process: Process, group: TaskGroup) -> None:
         world = self._world(process.host)
         world.formats = process.formats
         node = process.node = Node(world, self._startup(process), group)
-        stop, closed = process.stop, process.closed = anyio.Event(), anyio.Event()
-
-        async def serve() -> None:
-            await world.serve_http(make_doors(node), f"{process.host}:8000", stop)
-            closed.set()
-
-        group.start_soon(serve)
+        group.start_soon(self._serve, process, world, make_doors(node))
         await run_node(node)
 
+    async def _serve(self, process: Process, world: SimWorld, doors: Any) -> None:
+        process.stop, process.closed = stop, closed = anyio.Event(), anyio.Event()
+        await world.serve_http(doors, f"{process.host}:8000", stop)
+        closed.set()
+
     def kill(self, name: str, power: bool = False) -> None:
         """kill -9, or the power gone: then peers see nothing, and the disk loses what was not synced."""
         process = self.processes[name]
@@ -164,8 +164,11 @@
 
     async def stop_softly(self, name: str) -> None:
         process = self.processes[name]
-        assert process.node and process.stop and process.closed and process.group
-        await stop_node(process.node, process.stop, process.closed)
+        assert process.stop and process.closed and process.group
+        if process.control is not None:
+            await stop_control_node(process.control, process.stop, process.closed)
+        elif process.node is not None:
+            await stop_node(process.node, process.stop, process.closed)
         self.net.machine(process.host).cut_connections(silent=False)
         process.group.cancel_scope.cancel()
         process.group = None
--- a/src/finchswitch/simulation/deployments.py
+++ b/src/finchswitch/simulation/deployments.py
@@ -4,6 +4,8 @@
 from random import Random
 from typing import Any
 
+from finchswitch.bounds import Bounds
+
 __all__ = ["CORE", "DEPLOYMENTS", "VILLAGE", "Deployment", "Traffic"]
 
 
@@ -42,6 +44,7 @@
     traffic: list[Traffic]
     spare: list[str] = field(default_factory=list)  # runners of the hall that is moved to
     seeds: str = "accord"  # which kind of process the seeds name
+    bounds: Bounds = field(default_factory=Bounds)
 
     def runner_names(self) -> list[str]:
         return [f"{self.name}-r{at}" for at in range(1, self.runners + 1)]
