--- a/src/finchswitch/checking/history.py
+++ b/src/finchswitch/checking/history.py
@@ -97,6 +97,8 @@
                 raise Violation(
                     f"a confirmed read of step {document['step']} is older than step {began_at}, acknowledged"
                 )
+            if canonical_key(self.chosen.get(document["step"])) != canonical_key(document):
+                raise Violation(f"a confirmed read shows step {document['step']}, which was not chosen")
             self.newest_acknowledged = max(self.newest_acknowledged, document["step"])
         elif outcome.result is Result.REFUSED and change is not None:
             self._refuse(change, began_at)
--- a/src/finchswitch/checking/scenarios.py
+++ b/src/finchswitch/checking/scenarios.py
@@ -11,6 +11,7 @@
 _ONE = _RIVALS[:1]
 _ALL = [
     Scenario("rivals", _THREE, (), _RIVALS, 1, Troubles(stands=1, late=1)),
+    Scenario("chain", _THREE, (), (*_RIVALS, Order("z", 1)), 1, Troubles(stands=1)),
     Scenario("again", _THREE, (), _RIVALS, 2, Troubles(stands=1)),
     Scenario("crash", _THREE, (), _RIVALS, 1, Troubles(stands=1, crashes=1)),
     Scenario("elections", _THREE, (), _ONE, 1, Troubles(stands=2, crashes=1), owner_first=False),
--- a/tests/test_checking_mutants_rounds.py
+++ b/tests/test_checking_mutants_rounds.py
@@ -119,7 +119,7 @@
     (one_vote_is_enough, "rivals"),
     (former_group_not_asked, "swap"),
     (found_document_not_taken_up, "rivals"),
-    (no_accept_again, "rivals"),
+    (no_accept_again, "read"),
     (refusal_without_a_majority, "refusal"),
     (read_without_a_majority, "read"),
     (check_of_any_ballot, "read"),
