--- a/src/finchswitch/days/shapes.py
+++ b/src/finchswitch/days/shapes.py
@@ -20,6 +20,7 @@
     CONTROL = "control"
     MIXED = "mixed"
     LOSSES = "losses"
+    CROWDED = "crowded"
     ALL = "all"
 
 
@@ -42,6 +43,8 @@
 _DOWN_S = (0.6, 2.0)
 _MIXED_KINDS = (3, 6)
 _REPEAT_CHANCE = 0.4
+_CROWD = (2, 4)
+_CROWD_S = 6.0
 _ON_CORE_CHANCE = 0.5
 _SEED_BITS = 28
 _STEADY_CHANGES: dict[str, Value] = {"for_s": 25.0, "gap_s": 1.0}
@@ -87,6 +90,8 @@
             return [*pair, _not_before_start(beside)]
         case Shape.LOSSES:
             return _losses(rng, control, length_s)
+        case Shape.CROWDED:
+            return _crowded(rng, kinds, control, length_s)
         case _:
             return _mixed(rng, kinds, control, length_s)
 
@@ -120,6 +125,16 @@
     return troubles
 
 
+def _crowded(rng: random.Random, kinds: tuple[Kind, ...], control: list[str], length_s: float) -> list[Trouble]:
+    """Several troubles of the control side within a few seconds, and again later, with one kind beside them."""
+    troubles: list[Trouble] = []
+    for first_s in (rng.uniform(_FIRST_S, length_s / 4), rng.uniform(length_s / 2, length_s * _LAST_SHARE)):
+        for name in rng.sample(control, rng.randint(*_CROWD)):
+            troubles += CONTROL_TROUBLES[name](rng, round(first_s + rng.uniform(0.0, _CROWD_S), 2))
+        troubles.append(draw_trouble(rng, rng.choice(kinds), first_s, _on_core(rng)))
+    return troubles
+
+
 _LOSS_NAMES = frozenset(
     {
         "ack-kill",
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -106,7 +106,7 @@
 
 
 def test_all_shapes_in_turn_still_take_every_kind_alone():
-    days = [day for day in draw_days(KINDS, Shape.ALL, 7, 5 * len(KINDS)) if day.name.startswith("alone")]
+    days = [day for day in draw_days(KINDS, Shape.ALL, 7, len(Shape) * len(KINDS)) if day.name.startswith("alone")]
     assert {trouble.kind for day in days for trouble in day.troubles} == set(BY_NAME)
 
 
