--- a/tests/test_silent_answers.py
+++ b/tests/test_silent_answers.py
@@ -52,6 +52,8 @@
         self.tries = SimpleNamespace(prompt=lambda *_: None)
         self.crowds = SimpleNamespace(count=lambda *_: None)
         self.sent = SimpleNamespace(take_back=lambda *_: None)
+        self.take_seat = lambda drawn: SimpleNamespace(begun=lambda weights: None, free=lambda: None)
+        self.may_try_again, self.missed = lambda service: True, lambda incarnation, error: None
         self.granted = 0
 
     def grant(self, call, tried, began_ms):
@@ -59,15 +61,6 @@
         runner = Seatable(f"r{self.granted}", "i", 1, 0, "s")
         return SimpleNamespace(runner=runner, first_ms=50.0, way=Way.HOME), 400.0
 
-    def take_seat(self, drawn):
-        return SimpleNamespace(begun=lambda weights: None, free=lambda: None)
-
-    def may_try_again(self, service):
-        return True
-
-    def missed(self, incarnation, error):
-        pass
-
 
 def resumable():
     opening = Opening("s", "o", 10, 10)
