Confirmed reads go on in every scene that calls and changes

Cause: scenes read the configuration once, at their end; a stale read during a fault went unseen. Change: during() reads at each control node in turn, every 400 ms, and the reads are judged with the writes. The moments of all scenes shift a little by them.

--- a/src/finchswitch/constants.py
+++ b/src/finchswitch/constants.py
@@ -170,6 +170,7 @@
 LOOK_MS: Final = 250  # how often the stand-in platform looks at a node's readiness
 CALLER_WAIT_S: Final = 60  # a stand-in caller's patience, far past any due
 REPLAY_WAIT_S: Final = 120  # a replayed request's patience
+SCENE_READ_MS: Final = 400  # between two confirmed reads in a scene: some before, in and after each fault
 STORM_MS: Final = 12_000  # a storm's length: some thirty faults
 STORM_OPERATORS: Final = 3  # enough for races on every base
 OPERATORS_STORM_MS: Final = 25_000  # a storm of many operators: the longest cut, and a while before and after it
--- a/src/finchswitch/simulation/scenes.py
+++ b/src/finchswitch/simulation/scenes.py
@@ -5,10 +5,12 @@
 """
 
 from collections.abc import Awaitable, Callable
+from itertools import cycle
 from typing import Any
 
 import anyio
 
+from finchswitch.constants import SCENE_READ_MS
 from finchswitch.simulation.cluster import Cluster
 
 __all__ = [
@@ -23,6 +25,7 @@
     "open_up",
     "pause",
     "read_back",
+    "read_often",
     "scene",
     "transits",
 ]
@@ -90,10 +93,21 @@
                     cluster.history.marks.append((process.name, generation, name))
 
 
+async def read_often(cluster: Cluster, for_ms: float) -> None:
+    """Confirmed reads for a while, at each control node in turn."""
+    until_ms = cluster.now_ms() + for_ms
+    for name in cycle(cluster.control_nodes()):
+        if cluster.now_ms() >= until_ms:
+            return
+        await cluster.read_confirmed(at=name)
+        await cluster.outside.sleep(SCENE_READ_MS)
+
+
 async def during(cluster: Cluster, for_ms: float, faults: Scene, changes: int = 6) -> None:
-    """Call and change for a while, with the faults in between."""
+    """Call, change and read for a while, with the faults in between."""
     async with anyio.create_task_group() as group:
         group.start_soon(cluster.call, for_ms, 1.0)
+        group.start_soon(read_often, cluster, for_ms)
         group.start_soon(change_often, cluster, changes, for_ms / changes / 2)
         await faults(cluster)
 
