The word "current" has an age; nodes in search of control ask several at once; orders race in a storm

Cause: a confirmation by answers up to 600 ms old went on from control node to control node and to routing nodes as if it were made on the spot, and a peer's beat that had lain in a buffer could freshen it. A routing node whose control node was not current took another by chance and waited for it. Ruled out: a lease. Nothing rests on the word that needs one; orders, refusals and confirmed reads ask a majority. Change: confirmations carry their age and count from the ask, only answers count, and a routing node's 1.5 s begin there. A node asks up to four control nodes at once and takes one that is current. The waits of a change for its owner are Bounds' (a quarter of the platform's ack_ms each).

--- a/src/finchswitch/bounds.py
+++ b/src/finchswitch/bounds.py
@@ -7,9 +7,11 @@
 from dataclasses import dataclass
 
 from finchswitch.constants import (
+    CHANGE_WAIT_MS,
     DELIVERY_WAIT_MS,
     LIST_POLL_MS,
     LIST_UNKNOWN_MS,
+    OWNER_WAIT_MS,
     REPLACE_AFTER_MS,
     STOP_SETTLE_MS,
     TRIES_WINDOW_MS,
@@ -26,6 +28,8 @@
     tolerance: int = 1  # machines with a disk that may be lost at once; a part has 2f+1 acceptors
     replace_after_ms: float = REPLACE_AFTER_MS  # a silent acceptor may then give its place to an empty store
     delivery_wait_ms: float = DELIVERY_WAIT_MS  # a change waits so long for every node's word before its answer
+    owner_wait_ms: float = OWNER_WAIT_MS  # a change waits so long for an owner to be elected
+    change_wait_ms: float = CHANGE_WAIT_MS  # a change passed on waits so long for its owner's answer
     founds: bool = True  # an empty store may found a fleet; false where one must exist already
     serves_alone: bool = False  # a node that was confirmed once serves on while it is cut off from the others
     list_poll_ms: float = LIST_POLL_MS  # between two readings of the platform's list by whoever reads it
--- a/src/finchswitch/constants.py
+++ b/src/finchswitch/constants.py
@@ -24,6 +24,8 @@
 # Kinship
 BEAT_MS: Final = 200  # agreed beat; three of them fit in one silence
 CONTROL_SILENT_MS: Final = 600  # three beats: a control node that missed them is treated as gone
+CURRENT_MOST_MS: Final = 1_000  # a majority's confirmation older than this is no word that state is current
+CONTROLS_ASKED: Final = 4  # control nodes asked at once by a node in search of a current one; a minority of nine
 SESSION_SILENT_MS: Final = 1_000  # five beats: a session that missed them has ended
 CONTROL_GRACE_MS: Final = 1_500  # without current control this long, a node needs half of its peers to grant
 PEER_BEAT_MS: Final = 250  # burden and news of leaving; also the bound on going back after a wake
--- a/src/finchswitch/control/changes.py
+++ b/src/finchswitch/control/changes.py
@@ -18,11 +18,9 @@
 from finchswitch.configuration import apply_edits
 from finchswitch.constants import (
     ACCEPT_WAIT_MS,
-    CHANGE_WAIT_MS,
     CHANGE_WORDED_MOST_BYTES,
     CONFIGURATION_PART,
     DELIVERY_LOOK_MS,
-    OWNER_WAIT_MS,
 )
 from finchswitch.control.control_node import ControlNode
 from finchswitch.control.document import succeed
@@ -57,7 +55,7 @@
         return _answer(422, wrong=wrong)
     if len(json.dumps(change)) > CHANGE_WORDED_MOST_BYTES:
         return _answer(413, reason=f"a change may have {CHANGE_WORDED_MOST_BYTES} bytes as the fleet keeps it")
-    until_ms = control.world.now_ms() + OWNER_WAIT_MS
+    until_ms = control.world.now_ms() + control.bounds.owner_wait_ms
     while True:
         owner, _ = control.owner_of(CONFIGURATION_PART, control.world.now_ms())
         if owner == control.store.store:
@@ -65,7 +63,8 @@
         if owner and change.get("passed") is not True:
             address = control.control_peers.by_store[owner].address
             try:
-                return await control.book.ask(address, "change", {**change, "passed": True}, CHANGE_WAIT_MS)
+                passed = {**change, "passed": True}
+                return await control.book.ask(address, "change", passed, control.bounds.change_wait_ms)
             except FleetError as error:
                 _log.info("A change passed on is without answer. {}", error)
                 if error.reason == "connection refused":
--- a/src/finchswitch/control/control_node.py
+++ b/src/finchswitch/control/control_node.py
@@ -11,7 +11,7 @@
 from anyio.abc import TaskGroup
 
 from finchswitch.bounds import Bounds
-from finchswitch.constants import ASK_WAIT_MS, BEAT_MS, CONTROL_SILENT_MS
+from finchswitch.constants import ASK_WAIT_MS, BEAT_MS, CONTROL_SILENT_MS, CURRENT_MOST_MS
 from finchswitch.control.acceptor import read_ballot
 from finchswitch.control.document import Ballot, Document, part_names
 from finchswitch.control.proposer import Proposer
@@ -76,37 +76,52 @@
                 best = max(best, (read_ballot(control_peer.owns[part]["ballot"]), control_peer.store))
         return best[1], best[0]
 
-    def confirmed(self, part: str, now_ms: float) -> bool:
-        """As owner: whether a majority lately answered that no higher ballot is promised there."""
+    def confirmation_age_ms(self, part: str, now_ms: float) -> float | None:
+        """As owner: how long ago a majority surely had promised no higher ballot; None past the beats' silence."""
         proposer = self.proposers[part]
         if not proposer.owns() or proposer.document is None:
-            return False
+            return None
         yes = {self.store.store} if self.store.acceptors[part].promised == proposer.ballot else set[str]()
-        for control_peer in self.control_peers.by_store.values():
-            lately = now_ms - control_peer.asked_ms <= CONTROL_SILENT_MS
-            if lately and control_peer.promised.get(part) == proposer.ballot:
-                yes.add(control_peer.store)
-        return majority(yes, proposer.document["group"], proposer.document["former"])
+        answers = [peer.answered for peer in self.control_peers.by_store.values() if peer.answered is not None]
+        age_ms = 0.0
+        for answer in sorted(answers, key=lambda each: -each.asked_ms):
+            if majority(yes, proposer.document["group"], proposer.document["former"]):
+                break
+            if answer.promised.get(part) == proposer.ballot:
+                yes.add(answer.store)
+                age_ms = now_ms - answer.asked_ms
+        confirmed = majority(yes, proposer.document["group"], proposer.document["former"])
+        return age_ms if confirmed and age_ms <= CONTROL_SILENT_MS else None
+
+    def current_age_ms(self, part: str, now_ms: float) -> float | None:
+        """How long ago what this node holds of a part was surely the newest; None if that is not known.
+
+        What follows from an age: every change acknowledged before that moment is held here. It is no lease; a later
+        ballot may have been promised since.
+        """
+        document, own_age_ms = self.proposers[part].document, self.confirmation_age_ms(part, now_ms)
+        if document is not None and own_age_ms is not None:
+            return own_age_ms if document["generation"] <= self.news.generation(part) else None
+        claims = [
+            (read_ballot(peer.answered.owns[part]["ballot"]), peer.answered)
+            for peer in self.control_peers.by_store.values()
+            if peer.answered is not None and part in peer.answered.owns
+        ]
+        for _, answer in sorted(claims, key=lambda each: each[0], reverse=True):
+            claim, asked_age_ms = answer.owns[part], now_ms - answer.asked_ms
+            age_ms = asked_age_ms + float(claim.get("confirmedAgeMs", CONTROL_SILENT_MS))
+            if claim["confirmed"] and asked_age_ms <= CONTROL_SILENT_MS and age_ms <= CURRENT_MOST_MS:
+                return age_ms if claim["generation"] <= self.news.generation(part) else None
+        return None
 
     def current(self, part: str, now_ms: float) -> bool:
         """Whether what this node holds of a part is lately known to be the newest."""
-        document = self.proposers[part].document
-        if document is not None and self.confirmed(part, now_ms):
-            return bool(document["generation"] <= self.news.generation(part))
-        for control_peer in self.control_peers.by_store.values():
-            claim = control_peer.owns.get(part)
-            if claim and claim["confirmed"] and now_ms - control_peer.asked_ms <= CONTROL_SILENT_MS:
-                return bool(claim["generation"] <= self.news.generation(part))
-        return False
+        return self.current_age_ms(part, now_ms) is not None
 
     def beat_body(self) -> Message:
         now_ms = self.world.now_ms()
         owns = {
-            part: {
-                "ballot": proposer.ballot,
-                "generation": proposer.document["generation"],
-                "confirmed": self.confirmed(part, now_ms),
-            }
+            part: self._claim(part, proposer.document, now_ms)
             for part, proposer in self.proposers.items()
             if proposer.owns() and proposer.document is not None
         }
@@ -126,6 +141,13 @@
             "digest": self.sessions.digest(),
         }
 
+    def _claim(self, part: str, document: Document, now_ms: float) -> Message:
+        age_ms = self.confirmation_age_ms(part, now_ms)
+        claim = {"ballot": self.proposers[part].ballot, "generation": document["generation"]}
+        if age_ms is None:
+            return {**claim, "confirmed": False}
+        return {**claim, "confirmed": True, "confirmedAgeMs": age_ms}
+
     def hear_control_peer(self, body: Message, peer: str, asked_ms: float | None) -> None:
         control_peer, now_ms = ControlPeer.read(body, peer), self.world.now_ms()
         foreign = control_peer.fleet and self.store.fleet and control_peer.fleet != self.store.fleet
--- a/src/finchswitch/control/server.py
+++ b/src/finchswitch/control/server.py
@@ -62,7 +62,11 @@
 
 
 def _who(control: ControlNode) -> Message:
-    return {"plane": "control", "controls": sorted({control.startup.address, *control.control_peers.addresses})}
+    return {
+        "plane": "control",
+        "controls": sorted({control.startup.address, *control.control_peers.addresses}),
+        "current": control.current(CONFIGURATION_PART, control.world.now_ms()),
+    }
 
 
 def answer_session(control: ControlNode, asked: Asked) -> Message:
@@ -74,8 +78,10 @@
     if control.sessions.beat(name, {**beat, "generations": generations}, asked.peer, now_ms):
         control.tempo.kick()
     alive = [control_peer.address for control_peer in control.control_peers.alive(now_ms)]
+    age_ms = control.current_age_ms(CONFIGURATION_PART, now_ms)
     answer = {
-        "current": control.current(CONFIGURATION_PART, now_ms),
+        "current": age_ms is not None,
+        "currentAgeMs": age_ms or 0.0,
         "generations": control.news.generations(),
         "controls": sorted({control.startup.address, *alive}),
     }
--- a/src/finchswitch/membership/control_peers.py
+++ b/src/finchswitch/membership/control_peers.py
@@ -35,6 +35,9 @@
     digest: Message = field(default_factory=dict)
     heard_ms: float = 0.0
     asked_ms: float = field(default=-1e18)
+    answered: "ControlPeer | None" = field(
+        default=None, repr=False, compare=False
+    )  # its newest answer to a beat; a beat of its own may be old on arrival
 
     @classmethod
     def read(cls, body: Message, peer: str) -> "ControlPeer":
@@ -74,7 +77,10 @@
     def heard(self, control_peer: ControlPeer, now_ms: float, asked_ms: float | None) -> None:
         """Take in a beat (no askedMs) or the answer to one."""
         before = self.by_store.get(control_peer.store)
-        control_peer.asked_ms = asked_ms if asked_ms is not None else (before.asked_ms if before else -1e18)
+        if asked_ms is not None and (before is None or asked_ms >= before.asked_ms):
+            control_peer.asked_ms, control_peer.answered = asked_ms, control_peer
+        elif before is not None:
+            control_peer.asked_ms, control_peer.answered = before.asked_ms, before.answered
         control_peer.heard_ms = now_ms
         for other in [each for each in self.by_store.values() if each.address == control_peer.address]:
             del self.by_store[other.store]
--- a/src/finchswitch/membership/member.py
+++ b/src/finchswitch/membership/member.py
@@ -14,6 +14,7 @@
     CONFIGURATION_PART,
     CONTROL_GRACE_MS,
     CONTROL_SILENT_MS,
+    CURRENT_MOST_MS,
     FORGET_MS,
     PEER_BEAT_MS,
     PEER_SILENT_MS,
@@ -143,27 +144,29 @@
             try:
                 answer = await self._book.ask(self.controls.chosen, "session.beat", body, CONTROL_SILENT_MS)
                 with reading("session", self.controls.chosen):
-                    self._hear_control(answer, asked_ms)
+                    current = self._hear_control(answer, asked_ms)
             except FleetError as error:
                 _log.info("No session with {}. {}", self.controls.chosen, error)
-                await self.controls.ask_who(self.controls.chosen)
-                self.controls.elsewhere()
+                current = False
+            if not current:
+                await self.controls.find_current()
             self.may_grant()
             await self.tempo.pause(BEAT_MS if self.controls.chosen else BEAT_MS / 4)
 
-    def _hear_control(self, answer: Message, asked_ms: float) -> None:
+    def _hear_control(self, answer: Message, asked_ms: float) -> bool:
+        """Take in a control node's answer; whether it is current. Its word counts from its majority's confirmation."""
         controls, generations = field(answer, "controls", list), field(answer, "generations", dict)
         for part, generation in generations.items():
             self._told[part] = max(self._told.get(part, -1), generation)
         if answer.get("current") is not True:
-            self.controls.elsewhere()
-            return
-        self._current_ms = asked_ms
+            return False
+        self._current_ms = max(self._current_ms, asked_ms - float(answer.get("currentAgeMs", CURRENT_MOST_MS)))
         self.controls.hear(controls)
         if "members" in answer:
             self.members, self._listed = field(answer, "members", list), True
             self._members_mark = str(answer.get("membersMark", ""))
         self.others = {**answer["others"], "heardMs": asked_ms} if "others" in answer else None
+        return True
 
     async def beat_peers(self, own_word: Word) -> None:
         """Tell every peer known this node's word, and hear theirs."""
--- a/src/finchswitch/platform/settings.py
+++ b/src/finchswitch/platform/settings.py
@@ -10,7 +10,14 @@
 from returns.result import Failure, Result, Success
 
 from finchswitch.bounds import Bounds
-from finchswitch.constants import DELIVERY_WAIT_MS, LIST_POLL_MS, PEERS_MOST, REPLACE_AFTER_MS
+from finchswitch.constants import (
+    CHANGE_WAIT_MS,
+    DELIVERY_WAIT_MS,
+    LIST_POLL_MS,
+    OWNER_WAIT_MS,
+    PEERS_MOST,
+    REPLACE_AFTER_MS,
+)
 from finchswitch.programs.startup import Startup, address_faults
 
 __all__ = ["BOOT", "read_settings"]
@@ -100,12 +107,14 @@
     def bound(name: str) -> float:
         return reader.number("timing_bounds", name)
 
-    grace_ms = 1000 * bound("grace_s")
+    grace_ms, ack_ms = 1000 * bound("grace_s"), bound("ack_ms")
     tolerance = max(int(reader.number("fault_tolerance", each)) for each in ("machines", "zones", "regions"))
     return Bounds(
         tolerance=tolerance,
         replace_after_ms=min(REPLACE_AFTER_MS, 0.35 * 1000 * bound("catch_up_s")),
-        delivery_wait_ms=min(DELIVERY_WAIT_MS, 0.15 * bound("ack_ms")),
+        delivery_wait_ms=min(DELIVERY_WAIT_MS, 0.15 * ack_ms),
+        owner_wait_ms=min(OWNER_WAIT_MS, 0.25 * ack_ms),
+        change_wait_ms=min(CHANGE_WAIT_MS, 0.25 * ack_ms),
         founds=reader.get("first_start") is True,
         serves_alone=True,
         list_poll_ms=max(LIST_POLL_MS, 0.25 * bound("drain_ms")),
--- a/src/finchswitch/simulation/storms.py
+++ b/src/finchswitch/simulation/storms.py
@@ -14,7 +14,7 @@
 from finchswitch.simulation.history import Read
 from finchswitch.simulation.scenes import Scene, expect, mark_edit, read_back
 
-__all__ = ["STORMS"]
+__all__ = ["STORMS", "close_storm"]
 
 
 async def _operate(cluster: Cluster, who: int) -> None:
@@ -46,7 +46,7 @@
             await cluster.outside.sleep(cluster.chance.uniform(5, 100))
 
 
-async def _close(cluster: Cluster) -> None:
+async def close_storm(cluster: Cluster) -> None:
     cluster.net.heal_all()
     for process in cluster.of_kind("accord"):
         cluster.machine(process.name).thaw()
@@ -69,7 +69,7 @@
         while cluster.now_ms() < STORM_MS:
             await cluster.outside.sleep(cluster.chance.uniform(20, 1_500))
             await fault(cluster)
-    await _close(cluster)
+    await close_storm(cluster)
 
 
 async def _kill(cluster: Cluster) -> None:
@@ -144,7 +144,7 @@
     async with anyio.create_task_group() as group:
         for at in (owner, "accord4", first, second):
             group.start_soon(_operate_at, cluster, at)
-    await _close(cluster)
+    await close_storm(cluster)
 
 
 async def _operate_at(cluster: Cluster, at: str) -> None:
--- a/src/finchswitch/simulation/sweep.py
+++ b/src/finchswitch/simulation/sweep.py
@@ -7,6 +7,7 @@
     scenes_losses,
     scenes_mixed,
     scenes_nodes,
+    scenes_orders,
     scenes_plans,
     scenes_runners,
     scenes_versions,
