--- a/src/finchswitch/programs/cli.py
+++ b/src/finchswitch/programs/cli.py
@@ -177,8 +177,8 @@
     raise typer.Exit(1 if wrong else 0)
 
 
-@app.command()
-def check(
+@app.command("check-model")
+def check_model(
     scenario: Annotated[str, typer.Argument(help="A scenario's name, or all.")] = "all",
     depth: Annotated[int, typer.Option(help="Longest schedule, in steps.")] = 100,
     more: Annotated[int, typer.Option(help="How often more each trouble of a scenario may come.")] = 0,
