--- a/src/finchswitch/checking/replica.py
+++ b/src/finchswitch/checking/replica.py
@@ -145,7 +145,7 @@
 
 
 def _replicas_of(store: Store) -> Replicas:
-    return Replicas(store, None, None, None)  # type: ignore[arg-type]
+    return Replicas(None, store, None, None, None)  # type: ignore[arg-type]
 
 
 def restart(replica: Replica) -> Replica:
