--- a/src/finchswitch/checking/scenarios.py
+++ b/src/finchswitch/checking/scenarios.py
@@ -1,4 +1,4 @@
-"""The searches that ``finchswitch check`` makes, each with the troubles that it allows."""
+"""The searches that ``finchswitch check-model`` makes, each with the troubles that it allows."""
 
 from finchswitch.checking.state import Order, Scenario, Troubles
 
