--- a/src/finchswitch/membership/member.py
+++ b/src/finchswitch/membership/member.py
@@ -5,8 +5,6 @@
 holds. After any gap it serves again only when what it holds is confirmed.
 """
 
-from enum import Enum
-
 from finchswitch.bounds import Bounds
 from finchswitch.constants import (
     BEAT_MS,
@@ -23,10 +21,11 @@
 from finchswitch.errors import FleetError
 from finchswitch.logs import prefix
 from finchswitch.membership.controls import Controls
+from finchswitch.membership.node_state import NODE_TRANSITIONS, NodeEvent, NodeState
 from finchswitch.membership.ring import ring_neighbours
 from finchswitch.membership.tempo import Tempo
 from finchswitch.membership.word import Word, check_beat
-from finchswitch.state_machines import StateMachine, load_transitions
+from finchswitch.state_machines import StateMachine
 from finchswitch.transport import Book, Message, World, field, reading
 
 __all__ = ["Member", "NodeState"]
@@ -34,20 +33,6 @@
 _log = prefix("kinship")
 
 
-class NodeState(Enum):
-    JOINING = "joining"
-    SERVING = "serving"
-    CUT_OFF = "cut-off"
-    STOPPING = "stopping"
-
-
-class NodeEvent(Enum):
-    CONFIRMED = "confirmed"
-    CUT = "cut"
-    STOP = "stop"
-
-
-_TRANSITIONS = load_transitions("node", NodeState, NodeEvent)
 _NEVER = -1e18
 
 
@@ -57,7 +42,7 @@
     ) -> None:
         self._world, self._book, self._news = world, book, news
         self.card = card  # name, address, http, district, incarnation
-        self._state_machine = StateMachine(_TRANSITIONS, card["name"])
+        self._state_machine = StateMachine(NODE_TRANSITIONS, card["name"])
         bounds = bounds or Bounds()
         self._alone, self._peers_most = bounds.serves_alone, bounds.peers_most
         self._digest_beat_ms = bounds.digest_beat_ms
