The storm of orders tells the history its generations and contents

Cause: the storm noted bases as operators' numbers and no contents. Change: orders are noted with the generation that they build on and with their edits.

--- a/src/finchswitch/simulation/scenes_orders.py
+++ b/src/finchswitch/simulation/scenes_orders.py
@@ -14,15 +14,14 @@
 
 _ROUNDS = 6
 _SENDINGS = 4  # of each order; with two operators eight are under way
-_REVISIONS_FROM = 1_000  # in the history, where bases are generations elsewhere
 _CLEAR_REFUSALS = (400, 409, 413, 422)
 _ACKNOWLEDGED = (200, 202)
 
 
-async def _send(cluster: Cluster, order: dict[str, Any], answers: list[int]) -> None:
-    """Send an order to any node; one answer in four is lost on its way."""
+async def _send(cluster: Cluster, order: dict[str, Any], base: int, answers: list[int]) -> None:
+    """Send an order on a generation to any node; one answer in four is lost on its way."""
     host = cluster.processes[cluster.chance.choice(accords(cluster))].host
-    change = Change(order["changeId"], _REVISIONS_FROM + order["baseRevision"], cluster.now_ms())
+    change = Change(order["changeId"], base, cluster.now_ms(), content={"edits": order["edits"]})
     cluster.history.changes.append(change)
     lost = cluster.chance.random() < 0.25
     try:
@@ -36,17 +35,17 @@
     answers.append(change.status)
 
 
-async def _insist(cluster: Cluster, order: dict[str, Any], answers: list[int]) -> None:
+async def _insist(cluster: Cluster, order: dict[str, Any], base: int, answers: list[int]) -> None:
     """Send an order at once to several nodes, then again and again until an answer is clear."""
     async with anyio.create_task_group() as group:
         for _ in range(_SENDINGS):
-            group.start_soon(_send, cluster, order, answers)
+            group.start_soon(_send, cluster, order, base, answers)
             await cluster.outside.sleep(cluster.chance.uniform(0, 30))
     for _ in range(40):
         if set(answers) & {*_CLEAR_REFUSALS, *_ACKNOWLEDGED}:
             return
         await cluster.outside.sleep(200)
-        await _send(cluster, order, answers)
+        await _send(cluster, order, base, answers)
 
 
 def _order(number: int, base: int, who: int) -> dict[str, Any]:
@@ -82,7 +81,6 @@
 async def one_number_one_winner(cluster: Cluster) -> None:
     """Two operators send different orders under one number, each to several nodes at once, as the owner falls."""
     await cluster.insist({"configuration": cluster.deployment.configuration()})
-    cluster.history.changes.clear()  # the first counts by generation, these by revision
     base = 0
     for at in range(_ROUNDS):
         number = base + 1 + at % 3
@@ -90,7 +88,7 @@
         answers: list[list[int]] = [[], []]
         async with anyio.create_task_group() as group:
             for order, heard in zip(orders, answers, strict=True):
-                group.start_soon(_insist, cluster, order, heard)
+                group.start_soon(_insist, cluster, order, 1 + at, heard)
             group.start_soon(_fault, cluster)
         winners = [who for who, heard in enumerate(answers) if set(heard) & {*_ACKNOWLEDGED}]
         expect(cluster, len(winners) == 1, f"one winner of number {number}: {answers}")
@@ -99,12 +97,9 @@
             expect(cluster, not refused, f"the winner of number {number} is never refused: {answers}")
             later: list[int] = []
             for _ in range(3):
-                await _send(cluster, orders[who], later)
+                await _send(cluster, orders[who], 1 + at, later)
             expect(cluster, not set(later) & {*_CLEAR_REFUSALS}, f"sent again it is never refused: {later}")
         base = number
-    first = cluster.processes["accord1"].control
-    newest = first.news.generation("creed") if first else -1
-    cluster.history.changes.append(Change("newest", -1, cluster.now_ms(), 0, newest))
     await close_storm(cluster)
 
 
