An owner whose ballot was overtaken steps down when a confirmation shows it

Cause: a candidate that is promised by a majority and then fails leaves the owner with a ballot that can never be confirmed again. The owner stepped down only when a commit failed; where no order came it went on claiming the part, so nobody stood, and reads got 503 until the end. Change: a confirmation that is lost while an answer shows a later promise ends the ownership; silence does not.

--- a/src/finchswitch/control/ownership.py
+++ b/src/finchswitch/control/ownership.py
@@ -111,5 +111,13 @@
         return ConfirmRound(self.part, self.ballot, self.document)
 
     def checked(self, confirmation: ConfirmRound, confirmed: bool) -> bool:
-        """Judge the end of a confirmation: it counts for the ballot that asked, while it still owns."""
-        return confirmed and self.owns() and self.ballot == confirmation.ballot
+        """Judge the end of a confirmation: it counts for the ballot that asked, while it still owns.
+
+        An owner whose ballot was overtaken steps down, also where the later candidate failed: it could never be
+        confirmed again, and while it claims the part nobody else stands.
+        """
+        if not self.owns() or self.ballot != confirmation.ballot:
+            return False
+        if not confirmed and confirmation.overtaken:
+            self.step_down("A later ballot was promised.")
+        return confirmed
--- a/src/finchswitch/control/rounds.py
+++ b/src/finchswitch/control/rounds.py
@@ -168,6 +168,7 @@
     def __init__(self, part: str, ballot: Ballot, document: Document) -> None:
         self.verdict, self.highest = Verdict.OPEN, 0
         self.ballot, self.document = ballot, document
+        self.overtaken = False  # a store that answered has promised a later ballot
         self._body: Message = {"part": part, "ballot": ballot}
         self._unanswered: set[str] = set()
         self._confirmed: set[str] = set()
@@ -181,10 +182,17 @@
         if self.verdict is not Verdict.OPEN or store not in self._unanswered:
             return []
         self._unanswered.discard(store)
-        if answer is not None and answer["yes"] is True:
-            self._confirmed.add(store)
+        if answer is not None:
+            self._count(store, answer["yes"] is True, read_ballot(answer["promised"]))
         if majority(self._confirmed, self.document["group"], self.document["former"]):
             self.verdict = Verdict.WON
         elif not self._unanswered:
             self.verdict = Verdict.LOST
         return []
+
+    def _count(self, store: str, confirmed: bool, promised: Ballot) -> None:
+        self.highest = max(self.highest, promised[0])
+        if confirmed:
+            self._confirmed.add(store)
+        elif promised > self.ballot:
+            self.overtaken = True
