An owner that a failed candidate outvoted gives up its claim, also where no order comes

Cause: a candidate got a majority's promises while the owner lived (its own loop was held up by a slow disk, so it took the owner for silent), and then could not have anything accepted: its disk was too slow for a yes. The owner's claim stood in its beats, so nobody stood; every confirmed read failed, since a majority promised more; and only a failed commit would have ended the claim.

Change: an owner steps down when the promises in its peers' beats leave no majority for its ballot. To step down is safe at any time. The candidate or another member then stands by a still later ballot.

--- a/src/finchswitch/control/control_node.py
+++ b/src/finchswitch/control/control_node.py
@@ -170,6 +170,27 @@
                 and read_ballot(control_peer.owns[part]["ballot"]) > proposer.ballot
             ):
                 proposer.step_down(f"{control_peer.name} owns it by a later ballot.")
+            elif self._outvoted(part):
+                proposer.step_down("A majority is out of reach: later ballots are promised.")
+
+    def _outvoted(self, part: str) -> bool:
+        """As owner: whether those not known to have promised a later ballot are no majority, so that no commit can be.
+
+        A candidate may get a majority's promises and then fail to have anything accepted. It does not own the part and
+        nobody else stands for it while this node claims it, so only the promises tell.
+        """
+        proposer = self.proposers[part]
+        if not proposer.owns() or proposer.document is None:
+            return False
+        group, former = proposer.document["group"], proposer.document["former"]
+        later = {
+            control_peer.store
+            for control_peer in self.control_peers.by_store.values()
+            if control_peer.promised.get(part, proposer.ballot) > proposer.ballot
+        }
+        if self.store.acceptors[part].promised > proposer.ballot:
+            later.add(self.store.store)
+        return not majority({*group, *former} - later, group, former)
 
     async def beat_all(self) -> None:
         while True:
