A store's own promise is checked for its shape like the others'

Cause: since the own promise is synced before any other store is asked, it went around the check of an answer's shape; a document of the wrong shape then ended the process.

--- a/src/finchswitch/control/replicas.py
+++ b/src/finchswitch/control/replicas.py
@@ -71,7 +71,10 @@
         answer: Message | None = None
         began_ms = self._world.now_ms()
         try:
-            answer = self.answer("vote.prepare", {**body, "fleet": self._store.fleet, "store": self._store.store})
+            answered = self.answer("vote.prepare", {**body, "fleet": self._store.fleet, "store": self._store.store})
+            with reading("vote.prepare", self._store.store):
+                _check("vote.prepare", answered)
+            answer = answered
         except FleetError as error:
             _log.info("This store does not promise. {}", error)
         self._was_slow(began_ms)
