--- a/src/finchswitch/constants.py
+++ b/src/finchswitch/constants.py
@@ -176,6 +176,7 @@
 # The rehearsal
 CLOCK_SLACK_MS: Final = 1.0  # clocks of rehearsed machines start far apart; their sums round by less than this
 SIM_AGAIN_MS: Final = 200.0  # the least time after which TCP sends again what was lost
+SIM_SEGMENT_BYTES: Final = 16_384  # what a thin rehearsed link passes on at once; some ten packets
 SIM_WINDOW_BYTES: Final = 65_536  # what a rehearsed connection holds unread before its sender has to wait
 LOOK_MS: Final = 250  # how often the stand-in platform looks at a node's readiness
 CALLER_WAIT_S: Final = 60  # a stand-in caller's patience, far past any due
--- a/src/finchswitch/simulation/network.py
+++ b/src/finchswitch/simulation/network.py
@@ -5,7 +5,6 @@
 frozen machine does nothing on any wire until it wakes.
 """
 
-import re
 from collections import deque
 from collections.abc import Callable
 from random import Random
@@ -14,9 +13,11 @@
 import anyio
 from anyio.abc import ByteStream
 
-from finchswitch.constants import CALLER_STILL_MS, SIM_AGAIN_MS, SIM_WINDOW_BYTES
+from finchswitch.constants import CALLER_STILL_MS, SIM_AGAIN_MS, SIM_SEGMENT_BYTES, SIM_WINDOW_BYTES
 from finchswitch.simulation.history import DialSeen
+from finchswitch.simulation.listener import SimListener, note_dial
 from finchswitch.simulation.machine import Machine
+from finchswitch.simulation.thin_link import ThinLink
 
 __all__ = ["Net", "SimListener", "SimStream", "host_of"]
 
@@ -30,6 +31,7 @@
         self._dark: set[str] = set()
         self._numbers = 0
         self.bad: dict[str, tuple[float, float]] = {}  # hosts with bad links: how slow, and which share is lost
+        self.links: dict[str, ThinLink] = {}  # hosts whose link carries only so much; all others carry anything at once
         self.watched = ""  # the end of the addresses whose dials are written down
         self.dials: list[DialSeen] = []
 
@@ -77,6 +79,16 @@
             delay_ms, again_ms = delay_ms + again_ms, 2 * again_ms
         return delay_ms + slow_ms
 
+    def carried_ms(self, origin: str, target: str, size: int) -> float:
+        """When so many bytes that are sent now have passed the links of both hosts, on the cluster's clock."""
+        sent_ms = anyio.current_time() * 1000
+        if origin in self.links:
+            sent_ms = self.links[origin].pass_out(sent_ms, size)
+        arrived_ms = sent_ms + self.delay_ms(origin, target)
+        if target in self.links:
+            arrived_ms = self.links[target].pass_in(arrived_ms, size)
+        return arrived_ms
+
     def number(self) -> int:
         self._numbers += 1
         return self._numbers
@@ -98,15 +110,6 @@
         return near
 
 
-def note_dial(seen: DialSeen, data: bytes) -> None:
-    """What went over a connection that was dialled: which request, or the reading of vitals."""
-    if data.startswith(b"GET /metrics"):
-        seen.what = "vitals"
-    elif data.startswith(b"POST "):
-        found = re.search(rb"\r\nx-request-id: ([^\r]*)\r\n", data, re.IGNORECASE)
-        seen.what, seen.request_id = "request", found[1].decode() if found else ""
-
-
 def host_of(address: str) -> str:
     return address.rpartition(":")[0]
 
@@ -143,9 +146,7 @@
     def arrive(self, data: bytes, ended: str) -> None:
         if data:
             earlier_ms = self._arrivals[-1][0] if self._arrivals else 0.0
-            at_ms = max(
-                anyio.current_time() * 1000 + self._net.delay_ms(self._machine.name, self._other.name), earlier_ms
-            )
+            at_ms = max(self._net.carried_ms(self._other.name, self._machine.name, len(data)), earlier_ms)
             self._arrivals.append((at_ms, data))
         self._ended = self._ended or ended
         self._notify()
@@ -188,9 +189,16 @@
             raise anyio.BrokenResourceError
         if self.seen is not None:
             note_dial(self.seen, bytes(item))
-        if not self.peer._closed and not self.peer._dead:
-            self.peer.arrive(bytes(item), "")
-            await self._room()
+        for segment in self._segments(bytes(item)):
+            if not self.peer._closed and not self.peer._dead:
+                self.peer.arrive(segment, "")
+                await self._room()
+
+    def _segments(self, data: bytes) -> list[bytes]:
+        """What is sent at once; over a thin link it arrives bit by bit."""
+        if not {self._machine.name, self._other.name} & self._net.links.keys():
+            return [data]
+        return [data[at : at + SIM_SEGMENT_BYTES] for at in range(0, len(data), SIM_SEGMENT_BYTES)]
 
     async def _room(self) -> None:
         """Wait while the other end leaves too much unread; the kernel gives it up when it takes nothing for long."""
@@ -219,29 +227,3 @@
         self._notify()
         if not silent:
             self.peer.arrive(b"", "reset")
-
-
-class SimListener:
-    def __init__(self, machine: Machine) -> None:
-        self._machine = machine
-        self._waiting: deque[SimStream] = deque()
-        self._event = anyio.Event()
-        self.closed = False
-
-    def put(self, stream: SimStream) -> None:
-        self._waiting.append(stream)
-        self._event.set()
-        self._event = anyio.Event()
-
-    async def accept(self) -> tuple[SimStream, str]:
-        while not self._waiting:
-            if self.closed:
-                raise anyio.ClosedResourceError
-            await self._event.wait()
-        await self._machine.gate()
-        stream = self._waiting.popleft()
-        return stream, f"{stream._other.name}:{stream.number}"
-
-    async def aclose(self) -> None:
-        self.closed = True
-        self._event.set()
