Figures on /metrics of both programs, and a warning while news stay out

Nothing told a node that lacks the configuration from one that lacks the list of runners, or a control node without a majority from one whose news do not arrive: the platform's log level is 'warning', and no figures were told. Each routing node and control node now tells its own at /metrics (Prometheus text), and a routing node warns while it is behind for longer than a second, each time that this has doubled. tests/test_metrics.py reads them from a running fleet.

--- a/src/finchswitch/constants.py
+++ b/src/finchswitch/constants.py
@@ -69,6 +69,7 @@
 PARENT_SILENT_MS: Final = 200  # a parent that owes its answer longer than it may hold it is silent
 ELSEWHERE_MS: Final = 2_000  # how long a silent parent is passed over
 BEHIND_MS: Final = 150  # a beat showed newer news and the parent did not bring it within this
+BEHIND_LONG_MS: Final = 1_000  # news that stay out longer than this are worth a warning
 NEWS_KEEP: Final = 64  # changes kept for followers; one further behind gets a snapshot
 
 # Runners
--- a/src/finchswitch/control/operator_api.py
+++ b/src/finchswitch/control/operator_api.py
@@ -16,7 +16,9 @@
 from finchswitch.control.changes import confirm_current, take_change
 from finchswitch.control.control_node import ControlNode
 from finchswitch.control.document import part_names
+from finchswitch.control.figures import control_figures
 from finchswitch.errors import FleetError
+from finchswitch.metrics import metrics_route
 from finchswitch.transport.strict import read_json
 
 __all__ = ["make_operator_api"]
@@ -75,6 +77,7 @@
             Route("/v1/parts", parts),
             Route("/v1/plans", plans),
             Route("/ready", ready),
+            metrics_route(control, control_figures),
         ]
     )
 
--- a/src/finchswitch/distribution/follow.py
+++ b/src/finchswitch/distribution/follow.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from finchswitch.constants import BEHIND_MS, ELSEWHERE_MS, FOLLOW_HOLD_MS, PARENT_SILENT_MS
+from finchswitch.constants import BEHIND_LONG_MS, BEHIND_MS, ELSEWHERE_MS, FOLLOW_HOLD_MS, PARENT_SILENT_MS
 from finchswitch.distribution.news import NewsBook
 from finchswitch.distribution.tree import parent_of
 from finchswitch.errors import ErrorKind, FleetError
@@ -29,6 +29,8 @@
         self._behind_ms: float | None = None
         self.source = ""
         self._hold_ms = hold_ms
+        self.ends = dict.fromkeys(("moved", "nothing", "stale", "failed"), 0)  # asks for news by their end
+        self._warned_ms = 0.0
         self._held: anyio.CancelScope | None = None  # an ask to the parent in the tree that is under way
 
     def look(self) -> None:
@@ -48,10 +50,13 @@
                 moved = self._news.take_in(news, self.source)
                 if news and not moved:
                     raise FleetError(ErrorKind.BROKEN, "news", self.source, "all that it told is old")
+                self.ends["moved" if moved else "nothing"] += 1
                 for part in moved:
                     _log.info("{} is at generation {}.", part, self._news.generation(part))
                     self._member.tempo.kick()
             except FleetError as error:
+                self.ends["stale" if error.kind is ErrorKind.STALE else "failed"] += 1
+                self._warn_behind(error)
                 if error.kind is ErrorKind.STALE:
                     await self._snapshot()
                     continue
@@ -79,6 +84,21 @@
             _log.info("No snapshot. {}", error)
             self._passed[self.source] = self._world.now_ms() + ELSEWHERE_MS
 
+    def behind_ms(self) -> float:
+        """For how long others have shown newer news than are held here; 0 where they have not."""
+        self._late()
+        return 0.0 if self._behind_ms is None else self._world.now_ms() - self._behind_ms
+
+    def _warn_behind(self, error: FleetError) -> None:
+        """Say that news stay out, each time that this has lasted twice as long as when it was said before."""
+        behind_ms = self.behind_ms()
+        if behind_ms == 0.0:
+            self._warned_ms = 0.0
+        elif behind_ms >= max(BEHIND_LONG_MS, 2 * self._warned_ms):
+            self._warned_ms = behind_ms
+            have, wants = self._news.generations(), self._member.wants()
+            _log.warning("Behind for {:.0f} ms, at {} of {}. {}", behind_ms, have, wants, error)
+
     def _late(self) -> bool:
         """Whether others have shown newer news for longer than the parent may take to bring it."""
         now_ms, have, wants = self._world.now_ms(), self._news.generations(), self._member.wants()
--- a/src/finchswitch/membership/member.py
+++ b/src/finchswitch/membership/member.py
@@ -34,6 +34,7 @@
 
 
 _NEVER = -1e18
+_NEVER_AGE_MS = 1e9
 
 
 class Member:
@@ -80,8 +81,12 @@
         names = [each["name"] for each in self.members] if self._listed else list(self.peers)
         return [each for each in names if each != self.card["name"]]
 
+    def control_age_ms(self) -> float:
+        """How long ago a control node surely was current, as heard here; a very large number before the first."""
+        return min(self._world.now_ms() - self._current_ms, _NEVER_AGE_MS)
+
     def _controlled(self) -> bool:
-        return self._world.now_ms() - self._current_ms <= CONTROL_GRACE_MS
+        return self.control_age_ms() <= CONTROL_GRACE_MS
 
     def _confirmed(self) -> bool:
         now_ms, held = self._world.now_ms(), self._news.generation(CONFIGURATION_PART)
--- a/src/finchswitch/router/call.py
+++ b/src/finchswitch/router/call.py
@@ -101,6 +101,8 @@
         granted = node.grant(call, tried, began_ms)
         if isinstance(granted, Refusal):
             if not tried:
+                reason = f"{granted.status} {granted.reason}"
+                node.refusals[reason] = node.refusals.get(reason, 0) + 1
                 await _end(node, dialect, send, call.request_id, granted, Fate.NOT_RUN)
                 return True
             break
--- a/src/finchswitch/router/doors.py
+++ b/src/finchswitch/router/doors.py
@@ -10,7 +10,9 @@
 
 from finchswitch.affinity import home_order
 from finchswitch.constants import HOMES_SHOWN
+from finchswitch.metrics import metrics_route
 from finchswitch.router.call import answer_call
+from finchswitch.router.figures import node_figures
 from finchswitch.router.node import Node
 
 __all__ = ["Calls", "make_doors"]
@@ -60,6 +62,7 @@
         Route("/ready", ready),
         Route("/vitals", vitals),
         Route("/beliefs", beliefs),
+        metrics_route(node, node_figures),
     ]
     return Starlette(routes=routes, exception_handlers={HTTPException: lost})
 
--- a/src/finchswitch/router/node.py
+++ b/src/finchswitch/router/node.py
@@ -71,6 +71,7 @@
         self.sent = Sent()
         self.vitals = dict.fromkeys(("asked", "complete", "broken", "not-run", "unknown", "granted"), 0)
         self.ways: dict[str, int] = {}
+        self.refusals: dict[str, int] = {}  # requests refused before any try, by status and reason
         self.stopping, self._granted = False, False
         self._configuration: tuple[int, Any, Configuration] = (-1, {}, Configuration())
         self._table = RouteTable(Configuration())
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,37 @@
+"""The figures that processes tell: enough to say what a node that does not serve is lacking."""
+
+import httpx
+from prometheus_client.parser import text_string_to_metric_families
+
+from finchswitch.simulation.scenes import open_up
+
+
+async def read_metrics(cluster, name):
+    async with httpx.AsyncClient(transport=cluster.outside.http_transport()) as client:
+        answer = await client.get(f"http://{cluster.processes[name].host}:8000/metrics")
+    samples = [each for family in text_string_to_metric_families(answer.text) for each in family.samples]
+    return {(each.name, *each.labels.values()): each.value for each in samples}
+
+
+def test_figures_tell_a_node_without_news_from_one_that_holds_the_newest(staged):
+    seen = {}
+
+    async def scene(cluster):
+        await open_up(cluster)
+        await cluster.call(1_000, 1.0)
+        seen["before"] = await read_metrics(cluster, "transit1")
+        await cluster.insist({"edits": [{"kind": "services", "name": "more", "value": {}}]})
+        seen["after"] = await read_metrics(cluster, "transit1")
+        seen["controls"] = [await read_metrics(cluster, name) for name in cluster.control_nodes()]
+
+    staged(scene)
+    before, after = seen["before"], seen["after"]
+    assert before["finchswitch_ready",] == 1
+    assert before["finchswitch_runners_up",] == 4  # its three, and the spare
+    assert before["finchswitch_calls", "complete"] > 0
+    assert before["finchswitch_control_age_ms",] < 1_500
+    assert after["finchswitch_generation", "creed"] == before["finchswitch_generation", "creed"] + 1
+    assert after["finchswitch_behind_ms",] == 0
+    assert sum(each["finchswitch_owns", "creed"] for each in seen["controls"]) == 1
+    assert all(each["finchswitch_current_age_ms", "creed"] >= 0 for each in seen["controls"])
+    assert all(each["finchswitch_sessions", "standing"] == 4 for each in seen["controls"])
