Large messages no longer cut off heartbeats, nor heartbeats them

Cause: asks to one peer shared a connection. A beat that waited behind a configuration of 760 kB on a link of 5 Mbit/s was given up after 600 ms; as no whole answer had come meanwhile, the connection counted as silent and was closed, with the configuration under way in it. The next ask started over. A follower also gave up a parent that had begun to bring the news, as soon as others showed the same news.

Ruled out: the time that nodes take to read 1,400 routes (310 ms on the loaded machine) alone; no node had the body yet.

--- a/src/finchswitch/constants.py
+++ b/src/finchswitch/constants.py
@@ -16,6 +16,8 @@
 # Wire
 FRAME_MOST_BYTES: Final = 24 * 1024 * 1024  # a configuration of some ten thousand bindings, with room
 FRAME_DIGITS_MOST: Final = 8  # enough digits for FRAME_MOST_BYTES; a longer length is a broken frame
+DEFLATE_FROM_BYTES: Final = 4_096  # smaller frames fit in a few packets anyway
+DEFLATE_LEVEL: Final = 1  # 1,400 routes: 760 kB to 29 kB in 3 ms; the highest level saves no more than a tenth of that
 DIAL_WAIT_MS: Final = 300  # a live machine in the same hall answers in a few ms; dark ones must not hold us
 ASK_WAIT_MS: Final = 500  # under the failover second, above a slow sync
 KEPT_CONNECTIONS: Final = 20  # idle HTTP connections kept by a client that asks often, as of the platform's list
@@ -70,6 +72,7 @@
 ELSEWHERE_MS: Final = 2_000  # how long a silent parent is passed over
 BEHIND_MS: Final = 150  # a beat showed newer news and the parent did not bring it within this
 BEHIND_LONG_MS: Final = 1_000  # news that stay out longer than this are worth a warning
+NEWS_STALL_MS: Final = 1_000  # news of which a part has come are awaited this long for more: two losses on the way
 NEWS_KEEP: Final = 64  # changes kept for followers; one further behind gets a snapshot
 
 # Runners
--- a/src/finchswitch/control/control_node.py
+++ b/src/finchswitch/control/control_node.py
@@ -12,7 +12,14 @@
 
 from finchswitch.bounds import Bounds
 from finchswitch.configuration import ConfigurationReader
-from finchswitch.constants import ASK_WAIT_MS, BEAT_MS, CONTROL_SILENT_MS, CURRENT_MOST_MS, KICKED_BEAT_LEAST_MS
+from finchswitch.constants import (
+    ASK_WAIT_MS,
+    BEAT_MS,
+    CONTROL_SILENT_MS,
+    CURRENT_MOST_MS,
+    KICKED_BEAT_LEAST_MS,
+    NEWS_STALL_MS,
+)
 from finchswitch.control.acceptor import read_ballot
 from finchswitch.control.document import Ballot, Document, part_names
 from finchswitch.control.proposer import Proposer
@@ -26,7 +33,7 @@
 from finchswitch.membership.sessions import Sessions
 from finchswitch.membership.tempo import Tempo
 from finchswitch.storage import Disk
-from finchswitch.transport import Book, Message, World, field, reading
+from finchswitch.transport import Book, Lane, Message, World, field, reading
 
 __all__ = ["ControlNode"]
 
@@ -212,7 +219,8 @@
                 self.hear_control_peer(answer, address, asked_ms)
                 behind = any(generation > have.get(part, -1) for part, generation in answer["generations"].items())
             if behind:
-                followed = await self.book.ask(address, "news.follow", {"have": have, "holdMs": 0})
+                asked = {"have": have, "holdMs": 0}
+                followed = await self.book.ask(address, "news.follow", asked, lane=Lane.BULK, stall_ms=NEWS_STALL_MS)
                 self.news.take_in(field(followed, "news", dict, address), address)
         except FleetError as error:
             _log.debug("A beat went unanswered. {}", error)
--- a/src/finchswitch/control/figures.py
+++ b/src/finchswitch/control/figures.py
@@ -21,6 +21,7 @@
     sessions = Counter(str(each["state"]) for each in control.sessions.all(now_ms))
     votes = float(control.store.state is StoreState.VOTING)
     peers = float(len(control.control_peers.alive(now_ms)))
+    links = control.book.statistics
     return [
         Figure("finchswitch_generation", "Generation held of each part.", held, "part"),
         Figure("finchswitch_current_age_ms", "Since that was surely the newest; -1 if not known.", ages, "part"),
@@ -28,6 +29,8 @@
         Figure.single("finchswitch_votes", "1 while this store votes.", votes),
         Figure.single("finchswitch_peers", "Control nodes in sight.", peers),
         Figure("finchswitch_sessions", "Routing nodes by state.", _floats(sessions), "state"),
+        Figure.single("finchswitch_link_bytes", "Bytes read from other processes.", float(links.bytes_read)),
+        Figure.single("finchswitch_links_given_up", "Links closed for silence.", float(links.given_up)),
     ]
 
 
--- a/src/finchswitch/distribution/follow.py
+++ b/src/finchswitch/distribution/follow.py
@@ -2,18 +2,26 @@
 
 The parent holds an ask for a moment when there is nothing new, which also shows that it lives. A silent parent
 is passed over for a while. When a beat showed newer news than the parent brought, a control node is asked; an ask that
-the parent still holds by then is given up, so how long it may hold asks does not delay a change.
+the parent still holds by then is given up, so how long it may hold asks does not delay a change. News that have begun
+to come are heard out, however long they take on a thin link: asked for anew they would start over.
 """
 
 import anyio
 
-from finchswitch.constants import BEHIND_LONG_MS, BEHIND_MS, ELSEWHERE_MS, FOLLOW_HOLD_MS, PARENT_SILENT_MS
+from finchswitch.constants import (
+    BEHIND_LONG_MS,
+    BEHIND_MS,
+    ELSEWHERE_MS,
+    FOLLOW_HOLD_MS,
+    NEWS_STALL_MS,
+    PARENT_SILENT_MS,
+)
 from finchswitch.distribution.news import NewsBook
 from finchswitch.distribution.tree import parent_of
 from finchswitch.errors import ErrorKind, FleetError
 from finchswitch.logs import prefix
 from finchswitch.membership.member import Member
-from finchswitch.transport import Book, Message, World, field
+from finchswitch.transport import Book, Lane, Message, World, field
 
 __all__ = ["Follower"]
 
@@ -35,7 +43,7 @@
 
     def look(self) -> None:
         """Called when others told their generations: a parent that does not bring what is newer is left."""
-        if self._held is not None and self._late():
+        if self._held is not None and self._late() and not self._book.receives(self.source, Lane.BULK):
             self._held.cancel()
 
     async def follow(self) -> None:
@@ -70,15 +78,19 @@
         with anyio.CancelScope() as scope:
             self._held = None if self._late() else scope
             try:
-                return await self._book.ask(self.source, "news.follow", body, self._hold_ms + PARENT_SILENT_MS)
+                return await self._ask_news(body)
             finally:
                 self._held = None
         raise FleetError(ErrorKind.SILENT, "news", self.source, "others hold newer news")
 
+    async def _ask_news(self, body: Message) -> Message:
+        wait_ms = self._hold_ms + PARENT_SILENT_MS
+        return await self._book.ask(self.source, "news.follow", body, wait_ms, Lane.BULK, NEWS_STALL_MS)
+
     async def _snapshot(self) -> None:
         try:
             body = {"have": {}, "holdMs": 0}
-            answer = await self._book.ask(self.source, "news.follow", body, self._hold_ms + PARENT_SILENT_MS)
+            answer = await self._ask_news(body)
             self._news.take_in(field(answer, "news", dict, self.source), self.source)
         except FleetError as error:
             _log.info("No snapshot. {}", error)
--- a/src/finchswitch/router/figures.py
+++ b/src/finchswitch/router/figures.py
@@ -11,6 +11,7 @@
     held = {part: float(generation) for part, generation in node.news.generations().items()}
     wanted = {part: float(generation) for part, generation in node.member.wants().items()}
     follower = node.follower
+    links = node.book.statistics
     return [
         Figure.single("finchswitch_ready", "1 while callers may be handed to this node.", float(node.ready())),
         Figure("finchswitch_generation", "Generation held of each part.", held, "part"),
@@ -22,6 +23,8 @@
         Figure.single("finchswitch_runners_up", "Runners that may be sent to.", float(len(node.roster.up()))),
         Figure("finchswitch_calls", "Requests by what became of them.", _floats(node.vitals), "outcome"),
         Figure("finchswitch_refusals", "Requests refused here, by reason.", _floats(node.refusals), "reason"),
+        Figure.single("finchswitch_link_bytes", "Bytes read from other processes.", float(links.bytes_read)),
+        Figure.single("finchswitch_links_given_up", "Links closed for silence.", float(links.given_up)),
     ]
 
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -6,7 +6,7 @@
 from finchswitch.distribution import NewsBook
 from finchswitch.errors import ErrorKind, FleetError
 from finchswitch.simulation.scenes import open_up
-from finchswitch.transport import Book
+from finchswitch.transport import Book, Lane
 from finchswitch.transport.netstring import pack
 
 BAD = [
@@ -90,7 +90,8 @@
                 if answer is answers[0]:
                     assert await book.ask("10.0.0.1:1", "x", {}) == {}
                     await cluster.outside.sleep(10)
-                    book._drop("10.0.0.1:1", book._links["10.0.0.1:1"])
+                    key = ("10.0.0.1:1", Lane.SHORT)
+                    book._drop(key, book._links[key])
                     continue
                 with pytest.raises(FleetError):
                     await book.ask("10.0.0.1:1", "x", {})
