--- a/src/finchswitch/configuration/check.py
+++ b/src/finchswitch/configuration/check.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import functools
 import json
 import re
 from typing import Any
@@ -97,11 +98,17 @@
     return Failure(wrong) if wrong else Success(configuration)
 
 
+@functools.cache
+def _fields_of(shape: type) -> dict[str, "dataclasses.Field[Any]"]:
+    """The fields of a kind of entry, by how they are written; there are hundreds of entries of one kind."""
+    return {written(each.name): each for each in dataclasses.fields(shape)}
+
+
 def _read(shape: type, value: Any, where: str) -> Any:
     """The entry, or the list of every field that is not as it should be."""
     if not isinstance(value, dict):
         return [f"{where}: not an object"]
-    fields = {written(each.name): each for each in dataclasses.fields(shape)}
+    fields = _fields_of(shape)
     wrong = [f"{where}.{name}: no such field" for name in value if name not in fields]
     content: dict[str, Any] = {}
     for name, each in fields.items():
