A store takes its fleet as its own only once that is on disk

Cause: a control node that came back with an empty disk set its fleet in memory before the write. Where the disk was full the write failed, and as the node then seemed to have a fleet it never joined again: its store stayed without a state that may stand for a part until the next restart, and that restart found no fleet on disk.

--- a/src/finchswitch/control/store.py
+++ b/src/finchswitch/control/store.py
@@ -89,7 +89,7 @@
         self.store, self.fleet, self.founders = f"{self._name}-{self._world.chance.randbytes(6).hex()}", "", []
         self.may_found, self.proposal = self._first, []
         self._open_parts()
-        self._write()
+        self._write(self.fleet, self.founders, self.proposal)
         _log.info("Empty store {}.", self.store)
 
     def _open_parts(self) -> None:
@@ -101,20 +101,20 @@
                 read_document(acceptor.document)
             self.acceptors[part] = acceptor
 
-    def _write(self) -> None:
-        identity = {"store": self.store, "fleet": self.fleet, "founders": self.founders}
-        self._versions.put({**identity, "mayFound": self.may_found, "proposal": self.proposal})
+    def _write(self, fleet: str, founders: list[str], proposal: list[str]) -> None:
+        """Put this store's membership on disk, and only then take it as its own: a disk that is full keeps the old."""
+        identity = {"store": self.store, "fleet": fleet, "founders": founders}
+        self._versions.put({**identity, "mayFound": self.may_found, "proposal": proposal})
+        self.fleet, self.founders, self.proposal = fleet, founders, proposal
 
     def agree(self, proposal: list[str]) -> None:
         """Agree to a founding group, and to no other while that one may be founded."""
-        self.proposal = sorted(proposal)
-        self._write()
+        self._write(self.fleet, self.founders, sorted(proposal))
 
     def withdraw(self) -> None:
         """Agree no more to a founding group that can never be complete again."""
         _log.warning("The founding group {} can not be complete any more.", ", ".join(self.proposal))
-        self.proposal = []
-        self._write()
+        self._write(self.fleet, self.founders, [])
 
     def found(self, founders: list[str]) -> None:
         """Become a founder: the founding documents first, then the fleet's id."""
@@ -123,16 +123,14 @@
         for part, acceptor in self.acceptors.items():
             if acceptor.document is None:
                 acceptor.adopt(founding_document(fleet, part, founders))
-        self.fleet, self.founders = fleet, sorted(founders)
-        self._write()
+        self._write(fleet, sorted(founders), self.proposal)
         self._state_machine.take(StoreEvent.FOUNDED)
         _log.info("Founded fleet {} with {}.", fleet, ", ".join(self.founders))
 
     def join(self, fleet: str, founders: list[str]) -> None:
         """Belong to a fleet that others founded, without a vote."""
         self._drop_documents(but=fleet)
-        self.fleet, self.founders = fleet, founders
-        self._write()
+        self._write(fleet, founders, self.proposal)
         self._state_machine.take(StoreEvent.LEARNED)
         _log.info("Joined fleet {} as a spare.", fleet)
 
