Urgent requests are not refused for the prompts of requests that may wait

Cause: the estimate of a first token counted the prefill of everything that waits at a runner, whatever its rank. Summaries and round packs may be answered within 2 s before they are refused, questions and rulings within 1 s, so long prompts kept the backlog between the two and nearly every urgent request was refused, while a restarted fleet that believes nothing kept takes each long prompt to be cold. A long prompt that urgent ones had overtaken also made its runner look up to 20 times too slow.

Change: what waits is known by rank, here, among peers and in digests ('ranks' beside 'burden'); a request waits only for its own rank and more urgent ones; the pace of a runner is not learned from a request that more urgent ones overtook.

tests/test_affinity.py: an urgent prompt behind less urgent ones is granted; a prompt that was overtaken shows no slow runner; peers' and digests' ranks.

--- a/src/finchswitch/membership/digest.py
+++ b/src/finchswitch/membership/digest.py
@@ -17,22 +17,22 @@
 
 
 def merged(words: Iterable[_Word]) -> _Word:
-    """The sum of many words: seats of each runner and what waits there as one, and the highest counts of each service.
+    """The sum of many words: seats of each runner, what waits there by rank, and the highest counts of each service.
+
+    ``ranks`` names the rank of each sum of what waits at a runner, where any is above 0.
 
     >>> one = {"burden": {"r": [2, [[100, 50]]]}, "counts": {"s": [1.0, {"a": 0.5}]}}
     >>> merged([one, {"burden": {"r": [1, [[300, 10], [20, 5]]]}, "counts": {"s": [2.0, {"a": 0.25, "b": 0.1}]}}])
     {'burden': {'r': [3, [[300, 65]]]}, 'counts': {'s': [3.0, {'a': 0.75, 'b': 0.1}]}}
     """
-    burden: dict[str, list[Any]] = {}
+    seats: dict[str, float] = {}
+    waits: dict[str, dict[int, list[float]]] = {}
     counts: dict[str, list[Any]] = {}
     for word in words:
-        for incarnation, (seats, waiting) in word.get("burden", {}).items():
-            sums = burden.setdefault(incarnation, [0, []])
-            sums[0] += seats
-            if waiting:
-                held = sums[1][0] if sums[1] else [0, 0]
-                oldest_ms = max(held[0], *(age_ms for age_ms, _ in waiting))
-                sums[1] = [[oldest_ms, held[1] + sum(tokens for _, tokens in waiting)]]
+        for incarnation, (taken, waiting) in word.get("burden", {}).items():
+            seats[incarnation] = seats.get(incarnation, 0) + taken
+            ranks = word.get("ranks", {}).get(incarnation, [])
+            _add_waiting(waits.setdefault(incarnation, {}), waiting, ranks)
         for service, (total, shares) in word.get("counts", {}).items():
             table = counts.setdefault(service, [0.0, {}])
             table[0] += total
@@ -41,7 +41,19 @@
     for table in counts.values():
         highest = sorted(table[1].items(), key=lambda item: (-item[1], item[0]))[: 4 * HOT_MOST]
         table[1] = {digest: round(share, 5) for digest, share in highest}
-    return {"burden": burden, "counts": counts}
+    burden = {}
+    for incarnation, taken in seats.items():
+        by_rank = waits[incarnation]
+        burden[incarnation] = [taken, [by_rank[rank] for rank in sorted(by_rank)]]
+    ranked = {incarnation: sorted(by_rank) for incarnation, by_rank in waits.items() if any(by_rank)}
+    return {"burden": burden, "counts": counts, **({"ranks": ranked} if ranked else {})}
+
+
+def _add_waiting(by_rank: dict[int, list[float]], waiting: list[Any], ranks: list[int]) -> None:
+    """Add what waits to the sums by rank: the oldest age, and the tokens of all."""
+    for (age_ms, tokens), rank in zip(waiting, [*ranks, *[0] * len(waiting)], strict=False):
+        held = by_rank.get(rank, [0, 0])
+        by_rank[rank] = [max(held[0], age_ms), held[1] + tokens]
 
 
 def freshest(views: Iterable[list[Any] | None]) -> list[Any] | None:
--- a/src/finchswitch/membership/word.py
+++ b/src/finchswitch/membership/word.py
@@ -46,7 +46,13 @@
     "vitals": {"": (int, str, _NUMBER, _NUMBER)},
 }
 # What older processes do not say.
-_OPTIONAL: dict[str, Any] = {"listMark": str, "list": [list], "dark": [str], "base": {"": (_NUMBER, _NUMBER)}}
+_OPTIONAL: dict[str, Any] = {
+    "listMark": str,
+    "list": [list],
+    "dark": [str],
+    "ranks": {"": [int]},
+    "base": {"": (_NUMBER, _NUMBER)},
+}
 
 
 def check_beat(beat: Message, peer: str = "peer") -> None:
--- a/src/finchswitch/router/node.py
+++ b/src/finchswitch/router/node.py
@@ -181,7 +181,8 @@
         if not seatable:
             return Refusal(503, "no runner may be sent to now")
         due_ms = (call.due_ms or float(service.due_ms)) - (now_ms - began_ms)
-        choices = Choices(self.crowds.hot(call.service), seatable, able[1], configuration.settings.spill_share)
+        spill_share, rank = configuration.settings.spill_share, call.rank or 0
+        choices = Choices(self.crowds.hot(call.service), seatable, able[1], spill_share, rank)
         drawn = self.draws.draw(opening, choices, due_ms * self.bounds.aim_share, now_ms)
         if drawn is None and self.bounds.late_share > self.bounds.aim_share:
             drawn = self.draws.earliest(opening, choices, now_ms)
--- a/src/finchswitch/router/seat.py
+++ b/src/finchswitch/router/seat.py
@@ -28,7 +28,8 @@
         self._world, self._drawn, self._burdens, self._beliefs = world, drawn, burdens, beliefs
         self._state_machine = StateMachine(_TRANSITIONS, drawn.runner.runner)
         self._granted_ms = world.now_ms()
-        burdens.take(self, drawn.runner.incarnation, drawn.prefill_tokens, drawn.ms_a_token, self._granted_ms)
+        taken = (drawn.prefill_tokens, drawn.ms_a_token, self._granted_ms, drawn.rank)
+        burdens.take(self, drawn.runner.incarnation, *taken)
         beliefs.granted(drawn.runner.incarnation, drawn.opening)
 
     def begun(self, weights: str) -> None:
--- a/src/finchswitch/router/word.py
+++ b/src/finchswitch/router/word.py
@@ -21,6 +21,7 @@
         now_ms = self._node.world.now_ms()
         return {
             "burden": self._node.burdens.spoken(now_ms),
+            "ranks": self._node.burdens.spoken_ranks(),
             "held": self._node.beliefs.spoken(now_ms),
             "pace": self._node.burdens.paces.spoken(now_ms),
             "leaving": self._node.roster.leaving(),
@@ -33,7 +34,8 @@
     def digest(self) -> Message:
         """What this node tells of burdens and crowds where the fleet is too large to tell everybody."""
         burden = self._node.burdens.spoken(self._node.world.now_ms())
-        return {"burden": burden, "counts": self._node.crowds.called(), "list": self._node.roster.view()}
+        ranks, counts = self._node.burdens.spoken_ranks(), self._node.crowds.called()
+        return {"burden": burden, "ranks": ranks, "counts": counts, "list": self._node.roster.view()}
 
     def hear_control(self, since_ms: float) -> None:
         """What control answered to a beat of that moment: the sum of what the others tell, and what is newest."""
--- a/tests/test_affinity.py
+++ b/tests/test_affinity.py
@@ -16,6 +16,7 @@
     home_order,
     pick_hot,
 )
+from finchswitch.membership.digest import merged
 
 RUNNERS = [Seatable(f"r{at}", f"r{at}-i1", 10, 1_000) for at in range(1, 6)]
 NAMES = [each.runner for each in RUNNERS]
@@ -128,3 +129,39 @@
     later = {"heardMs": 1_100.0, "pace": {}, "burden": {"i": [1, [[1_020.0, 8_000]]]}}
     burdens.hear_peers([later], 1_100.0)
     assert burdens.backlog_ms("i", 0.125, 1_200.0) == pytest.approx(900.0)
+
+
+def test_an_urgent_prompt_does_not_wait_for_the_prompts_of_less_urgent_ones(parts):
+    """Runners let the urgent in first; counted behind two seconds of summaries all counter questions were refused."""
+    _, burdens, draws = parts
+    for each in RUNNERS:
+        burdens.take(object(), each.incarnation, 2_000, 1.0, 0.0, rank=1)
+    urgent = Choices([], RUNNERS, NAMES, 0.9, rank=0)
+    assert draws.draw(opening("o"), urgent, 1_000, 100.0) is not None
+    assert draws.draw(opening("o"), Choices([], RUNNERS, NAMES, 0.9, rank=1), 1_000, 100.0) is None
+    for each in RUNNERS:
+        burdens.take(object(), each.incarnation, 2_000, 1.0, 100.0, rank=0)
+    assert draws.draw(opening("o"), urgent, 1_000, 100.0) is None
+
+
+def test_a_prompt_that_more_urgent_ones_overtook_does_not_show_a_slow_runner(parts):
+    _, burdens, _ = parts
+    summary, question = object(), object()
+    burdens.take(summary, "i", 1_000, 1.0, 0.0, rank=1)
+    burdens.take(question, "i", 100, 1.0, 500.0, rank=0)
+    burdens.begun(question, "i", 600.0)
+    assert burdens.pace("i", 600.0, rank=0) == 1.0
+    burdens.begun(summary, "i", 9_000.0)
+    assert burdens.pace("i", 9_000.0) == 1.0
+
+
+def test_peers_tell_the_ranks_of_what_waits(parts):
+    beliefs, burdens, draws = parts
+    told = Burdens()
+    for rank, tokens in ((1, 2_000), (0, 50), (1, 3_000)):
+        told.take(object(), "r1-i1", tokens, 1.0, 0.0, rank=rank)
+    word = {"burden": told.spoken(0.0), "ranks": told.spoken_ranks(), "counts": {}}
+    for beat in (word, merged([word, {"burden": {"r1-i1": [1, [[0, 25]]]}, "counts": {}}])):
+        burdens.hear_peers([{**beat, "pace": {}, "heardMs": 0.0}], 0.0)
+        assert burdens.backlog_ms("r1-i1", 1.0, 0.0, rank=0) in (50.0, 75.0)
+        assert burdens.backlog_ms("r1-i1", 1.0, 0.0) in (5_050.0, 5_075.0)
