Rank decides only over refusal; where a request goes counts all that waits

A request is drawn as before now, by everything that waits; only where nothing is timely, and it would be refused, does it count just what is as urgent.

tests/test_admission_by_rank.py fails with the refusal of before (seen). The stub of tests/test_silent_answers.py takes the rank that a seat is given; what it asserts is unchanged.

--- a/src/finchswitch/affinity/draw.py
+++ b/src/finchswitch/affinity/draw.py
@@ -47,7 +47,6 @@
     prefill_tokens: int
     first_ms: float
     ms_a_token: float
-    rank: int = 0  # of the request; 0 is the most urgent
 
 
 @dataclass(frozen=True)
@@ -61,20 +60,18 @@
     runners: list[Seatable]
     homes: list[str]
     spill_share: float
-    rank: int = 0  # of the request; 0 is the most urgent
 
 
 class Draws:
     def __init__(self, beliefs: Beliefs, burdens: Burdens, chance: Random) -> None:
         self._beliefs, self._burdens, self._chance = beliefs, burdens, chance
 
-    def estimate(self, opening: Opening, runner: Seatable, way: Way, now_ms: float, rank: int = 0) -> Drawn:
-        return self._estimate(opening, runner, way, now_ms, False, rank)
-
-    def _estimate(self, opening: Opening, runner: Seatable, way: Way, now_ms: float, home: bool, rank: int) -> Drawn:
+    def estimate(
+        self, opening: Opening, runner: Seatable, way: Way, now_ms: float, home: bool = False, rank: int | None = None
+    ) -> Drawn:
         """When the first token would come: waiting for a slot, others' prefill, then this prompt's own.
 
-        Of the others' prefill that of less urgent requests does not count: the runner lets this one in before them.
+        For a rank, the prefill of less urgent requests does not count: the runner lets this one in before them.
         """
         seats = self._burdens.seats(runner.incarnation, now_ms)
         trusted = home and now_ms < self._beliefs.trusting_until_ms
@@ -88,7 +85,7 @@
         pace = self._burdens.pace(runner.incarnation, now_ms, rank)
         backlog_ms = self._burdens.backlog_ms(runner.incarnation, ms_a_token * pace, now_ms, rank)
         estimated_ms = first_ms + (wait_ms + tokens * ms_a_token) * pace + backlog_ms
-        return Drawn(runner, opening, way, tokens, estimated_ms, ms_a_token, rank)
+        return Drawn(runner, opening, way, tokens, estimated_ms, ms_a_token)
 
     def reads_again(self, opening: Opening, drawn: Drawn, now_ms: float) -> bool:
         """Whether a runner whose speed is learned would read what its home most likely keeps."""
@@ -99,9 +96,9 @@
         """How much later than due a prompt waits for its home before its opening is read a second time elsewhere."""
         return READ_AGAIN_SHARE * opening.opening_tokens * other.ms_a_token
 
-    def earliest(self, opening: Opening, choices: Choices, now_ms: float) -> Drawn:
-        """The runner whose first token is expected first."""
-        others = [self.estimate(opening, each, Way.TIMELY, now_ms, choices.rank) for each in choices.runners]
+    def earliest(self, opening: Opening, choices: Choices, now_ms: float, rank: int | None = None) -> Drawn:
+        """The runner whose first token is expected first; for a rank, as if no less urgent request waited anywhere."""
+        others = [self.estimate(opening, each, Way.TIMELY, now_ms, rank=rank) for each in choices.runners]
         return min(others, key=lambda each: each.first_ms)
 
     def draw(self, opening: Opening, choices: Choices, due_ms: float, now_ms: float) -> Drawn | None:
@@ -122,7 +119,7 @@
         if opening.digest in choices.hot:
             names = self._copied(opening, by_name, now_ms)
             pair = self._chance.sample(names, min(2, len(names)))
-            both = [self.estimate(opening, by_name[name], Way.HOT, now_ms, choices.rank) for name in pair]
+            both = [self.estimate(opening, by_name[name], Way.HOT, now_ms) for name in pair]
             return min(both, key=lambda each: self._share(each.runner, now_ms))
         return self._home(opening, by_name, choices, now_ms)
 
@@ -140,9 +137,8 @@
         for name in order[: 1 + SECOND_HOMES]:
             if self._share(by_name[name], now_ms) < choices.spill_share:
                 way = Way.HOME if name == owned[0] else Way.SPILL
-                return self._estimate(opening, by_name[name], way, now_ms, way is Way.HOME, choices.rank)
-        nearest = [by_name[name] for name in order[: 1 + SECOND_HOMES]]
-        spilled = [self.estimate(opening, each, Way.SPILL, now_ms, choices.rank) for each in nearest]
+                return self.estimate(opening, by_name[name], way, now_ms, way is Way.HOME)
+        spilled = [self.estimate(opening, by_name[name], Way.SPILL, now_ms) for name in order[: 1 + SECOND_HOMES]]
         return min(spilled, key=lambda each: each.first_ms)
 
     def _share(self, runner: Seatable, now_ms: float) -> float:
--- a/src/finchswitch/router/call.py
+++ b/src/finchswitch/router/call.py
@@ -140,7 +140,7 @@
     node: "Node", dialect: Dialect, call: Call, drawn: Drawn, due_ms: float, began_ms: float, flow: _Flow
 ) -> None:
     """One try; raises a AttemptError unless the answer is whole now."""
-    known, seat = node.roster.known[drawn.runner.incarnation], node.take_seat(drawn)
+    known, seat = node.roster.known[drawn.runner.incarnation], node.take_seat(drawn, call.rank or 0)
     ticket = Ticket(call.request_id, call.repeatable, call.service, call.opening.digest, drawn.runner.runner)
     limit_ms = call.limit_ms
     if limit_ms is None:
--- a/src/finchswitch/router/node.py
+++ b/src/finchswitch/router/node.py
@@ -181,11 +181,10 @@
         if not seatable:
             return Refusal(503, "no runner may be sent to now")
         due_ms = (call.due_ms or float(service.due_ms)) - (now_ms - began_ms)
-        spill_share, rank = configuration.settings.spill_share, call.rank or 0
-        choices = Choices(self.crowds.hot(call.service), seatable, able[1], spill_share, rank)
+        choices = Choices(self.crowds.hot(call.service), seatable, able[1], configuration.settings.spill_share)
         drawn = self.draws.draw(opening, choices, due_ms * self.bounds.aim_share, now_ms)
         if drawn is None and self.bounds.late_share > self.bounds.aim_share:
-            drawn = self.draws.earliest(opening, choices, now_ms)
+            drawn = self.draws.earliest(opening, choices, now_ms, call.rank)
             if drawn.first_ms > (call.due_ms or float(service.due_ms)) * self.bounds.late_share and not tried:
                 return Refusal(429, "no runner can give a timely first token", drawn.first_ms - due_ms / 2)
         if drawn is None:
@@ -217,7 +216,7 @@
                     self.beliefs.forget(incarnation)
                     await self.roster.forget(incarnation)
 
-    def take_seat(self, drawn: Drawn) -> Seat:
+    def take_seat(self, drawn: Drawn, rank: int) -> Seat:
         self.vitals["granted"] += 1
         self.ways[drawn.way.value] = self.ways.get(drawn.way.value, 0) + 1
-        return Seat(self.world, drawn, self.burdens, self.beliefs)
+        return Seat(self.world, drawn, self.burdens, self.beliefs, rank)
--- a/src/finchswitch/router/seat.py
+++ b/src/finchswitch/router/seat.py
@@ -24,11 +24,11 @@
 
 
 class Seat:
-    def __init__(self, world: World, drawn: Drawn, burdens: Burdens, beliefs: Beliefs) -> None:
+    def __init__(self, world: World, drawn: Drawn, burdens: Burdens, beliefs: Beliefs, rank: int = 0) -> None:
         self._world, self._drawn, self._burdens, self._beliefs = world, drawn, burdens, beliefs
         self._state_machine = StateMachine(_TRANSITIONS, drawn.runner.runner)
         self._granted_ms = world.now_ms()
-        taken = (drawn.prefill_tokens, drawn.ms_a_token, self._granted_ms, drawn.rank)
+        taken = (drawn.prefill_tokens, drawn.ms_a_token, self._granted_ms, rank)
         burdens.take(self, drawn.runner.incarnation, *taken)
         beliefs.granted(drawn.runner.incarnation, drawn.opening)
 
