--- a/src/finchswitch/days/fields.py
+++ b/src/finchswitch/days/fields.py
@@ -48,9 +48,10 @@
 # Variants that the list of kinds tells in its preamble, or that the deployments' own days use beside those listed.
 _FURTHER_VARIANTS = {
     "answer_lost": ("reset",),
-    "core_cut": ("reset", "refuse"),
+    "core_cut": ("reset", "refuse", "all"),
     "garble": ("extra late",),
-    "node_cut": ("reset", "refuse"),
+    "herd_kill": ("off", "taken all"),
+    "node_cut": ("reset", "refuse", "all"),
 }
 _SERVER_VARIANTS = ("across", "all")
 _SERVER_PREFIX = "srv_"
--- a/src/finchswitch/days/shapes.py
+++ b/src/finchswitch/days/shapes.py
@@ -8,6 +8,7 @@
 from finchswitch.days.day import Closing, Day, Trouble, Value
 from finchswitch.days.fields import CHANGE_KINDS, draw_trouble
 from finchswitch.days.kinds import Kind
+from finchswitch.days.recovery import draw_recovery_closing, draw_recovery_troubles
 
 __all__ = ["Shape", "draw_days"]
 
@@ -21,6 +22,7 @@
     MIXED = "mixed"
     LOSSES = "losses"
     CROWDED = "crowded"
+    RECOVERY = "recovery"
     ALL = "all"
 
 
@@ -38,6 +40,7 @@
     ("wipe_after_ack", "aimed"),
     ("wipe_after_ack", "timed"),
     ("wipe_after_ack", "taken"),
+    ("wipe_after_ack", "oldest"),
 )
 _NO_CLOSING_CHANCE = 0.15
 _DOWN_S = (0.6, 2.0)
@@ -67,7 +70,8 @@
     if not any(each.kind in CHANGE_KINDS for each in troubles):
         troubles.append(Trouble(3.0, "config_storm", dict(_STEADY_CHANGES)))
     fitting = tuple(each for each in troubles if each.at_s < length_s)
-    return Day(name, rng.getrandbits(_SEED_BITS), length_s, fitting, _draw_closing(rng))
+    closing = draw_recovery_closing(rng) if shape is Shape.RECOVERY else _draw_closing(rng)
+    return Day(name, rng.getrandbits(_SEED_BITS), length_s, fitting, closing)
 
 
 def _draw_troubles(
@@ -90,6 +94,8 @@
             return [*pair, _not_before_start(beside)]
         case Shape.LOSSES:
             return _losses(rng, control, length_s)
+        case Shape.RECOVERY:
+            return draw_recovery_troubles(rng, kinds, length_s)
         case Shape.CROWDED:
             return _crowded(rng, kinds, control, length_s)
         case _:
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -123,6 +123,14 @@
     assert closings == {"power_off_all", "kill_all", "wipe_after_ack"}
 
 
+def test_a_day_of_recovery_loses_all_machines_while_trouble_lasts():
+    for day in draw_days(KINDS, Shape.RECOVERY, 10, DRAWS):
+        assert day.closing and day.closing.kind in {"power_off_all", "kill_all"}
+        lasting = [each for each in day.troubles if each.kind != "config_storm"]
+        assert lasting and all(float(each.fields["for_s"]) >= 15 for each in lasting)
+        assert all(float(each.fields.get("share", 0.5)) >= 0.5 for each in lasting)
+
+
 def test_planned_work_and_faults_are_written_apart_in_order_of_time():
     kill = Trouble(9.0, "node_kill", {"on": "core", "count": 1, "how": "power leader"})
     cut = Trouble(2.5, "core_cut", {"for_s": 20.0})
