--- a/tests/test_disks_and_power_lost.py
+++ b/tests/test_disks_and_power_lost.py
@@ -1,7 +1,7 @@
-"""As many disks as are tolerated are lost right after an acknowledgement, and all other machines lose power with them.
+"""As many disks as are tolerated are lost right after an acknowledgement, and all other machines lose power then.
 
-Routing nodes go too, so what stands is only on the disks that are left. Before it a control machine is replaced, so that
-the seeds of the start name one that is gone.
+Routing nodes go too, so what stands is only on the disks that are left. Before it a control machine is replaced, so
+that the seeds of the start name one that is gone.
 """
 
 import dataclasses
