--- a/src/finchswitch/affinity/burden.py
+++ b/src/finchswitch/affinity/burden.py
@@ -5,8 +5,8 @@
 token came. A runner prefills one prompt after the other, so the seats that wait there, in the order of their grants,
 tell when it will come to the next one; what it has done of them meanwhile counts.
 
-Runners let more urgent requests in first. So a request waits only for those of its own rank and of more urgent ones
-(0 is the most urgent): the prompts of summaries that may wait say nothing of when a counter question will be answered.
+Runners let more urgent requests in first (0 is the most urgent). So what waits is known by rank, and whoever asks for a
+rank is told only of what is as urgent: prompts that may wait are no reason to refuse one that may not.
 """
 
 from typing import Any, NamedTuple
