Sight: each signal and phase of a program's life is logged and told on /metrics

Which signal came, in which phase, and how a stop went on is now logged at notice, which is the platform's level from here on, and counted. No signal means anything else than before.

--- a/src/finchswitch/control/control_node.py
+++ b/src/finchswitch/control/control_node.py
@@ -28,6 +28,7 @@
 from finchswitch.control.store import Store
 from finchswitch.distribution import NewsBook
 from finchswitch.errors import FleetError
+from finchswitch.lifecycle import Lifecycle
 from finchswitch.logs import prefix
 from finchswitch.membership.control_peers import ControlPeer, ControlPeers
 from finchswitch.membership.sessions import Sessions
@@ -45,6 +46,7 @@
         self.world, self.startup, self.group = world, startup, group
         self.started_ms = world.now_ms()
         self.leaving = False  # a planned stop is under way
+        self.lifecycle = Lifecycle("accord")
         self.bounds: Bounds = startup.bounds
         self.group_size = 2 * self.bounds.tolerance + 1  # acceptors a part: a majority is left after the losses
         self.store = Store(world, disk, startup.name, self.bounds.founds)
--- a/src/finchswitch/control/figures.py
+++ b/src/finchswitch/control/figures.py
@@ -31,6 +31,7 @@
         Figure("finchswitch_sessions", "Routing nodes by state.", _floats(sessions), "state"),
         Figure.single("finchswitch_link_bytes", "Bytes read from other processes.", float(links.bytes_read)),
         Figure.single("finchswitch_links_given_up", "Links closed for silence.", float(links.given_up)),
+        *control.lifecycle.figures(),
     ]
 
 
--- a/src/finchswitch/platform/settings.py
+++ b/src/finchswitch/platform/settings.py
@@ -98,7 +98,7 @@
         seeds=[f"{str(seed).rpartition(':')[0]}:{port}" for seed in seeds],
         platform=reader.address("cloud_api", "address") if program == "transit" else "",
         data=reader.text("data_directory") if program == "accord" else "",
-        log="warning",
+        log="notice",
         bounds=_bounds(reader),
     )
 
--- a/src/finchswitch/programs/accord.py
+++ b/src/finchswitch/programs/accord.py
@@ -13,15 +13,13 @@
 from finchswitch.control.leaving import leave
 from finchswitch.control.operator_api import make_operator_api
 from finchswitch.control.server import run_control_node
-from finchswitch.logs import prefix
+from finchswitch.lifecycle import PhaseEvent
 from finchswitch.programs.startup import Startup
 from finchswitch.storage import RealDisk
 from finchswitch.transport.real import RealWorld
 
 __all__ = ["run_accord", "serve_accord", "stop_control_node"]
 
-_log = prefix("accord")
-
 
 async def run_accord(startup: Startup) -> None:
     async with anyio.create_task_group() as group:
@@ -41,12 +39,15 @@
     group.start_soon(run_control_node, control)
     group.start_soon(_serve, world, desk(control), startup.http, stop, closed)
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        control.lifecycle.move(PhaseEvent.OPENED)
         async for each in signals:
+            control.lifecycle.received(each)
             if each is not signal.SIGHUP:
                 break
             control.control_peers.new_seeds(seeds())
-    _log.info("Stopping.")
+    control.lifecycle.move(PhaseEvent.STOP)
     await stop_control_node(control, stop, closed)
+    control.lifecycle.move(PhaseEvent.STOPPED)
     group.cancel_scope.cancel()
 
 
--- a/src/finchswitch/programs/transit.py
+++ b/src/finchswitch/programs/transit.py
@@ -8,6 +8,7 @@
 from anyio.abc import TaskGroup
 
 from finchswitch.constants import CALLER_STILL_MS, STOP_CLOSE_MS, STOP_LOOK_MS
+from finchswitch.lifecycle import PhaseEvent
 from finchswitch.logs import prefix
 from finchswitch.programs.startup import Startup
 from finchswitch.router.asks import run_node
@@ -34,12 +35,16 @@
     group.start_soon(run_node, node)
     group.start_soon(_serve, world, doors, node.startup.http, stop, closed)
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        node.lifecycle.move(PhaseEvent.OPENED)
         async for each in signals:
+            node.lifecycle.received(each)
             if each is not signal.SIGHUP:
                 break
             node.member.controls.new_seeds(seeds())
-    _log.info("Stopping; {} requests under way.", len(node.underway))
+    node.lifecycle.move(PhaseEvent.STOP)
+    _log.notice("{} requests under way.", len(node.underway))
     await stop_node(node, stop, closed)
+    node.lifecycle.move(PhaseEvent.STOPPED)
     group.cancel_scope.cancel()
 
 
@@ -61,6 +66,9 @@
         while node.underway:
             await node.world.sleep(STOP_LOOK_MS)
         most_ms = STOP_CLOSE_MS if bounds.grace_ms is not None else most_ms
+    node.lifecycle.answers_cut = len(node.underway)
+    if node.underway:
+        _log.warning("The time to stop is over with {} requests under way; they are cut.", len(node.underway))
     stop.set()
     with anyio.move_on_after(most_ms / 1000 if not node.underway else STOP_CLOSE_MS / 1000):
         await closed.wait()
--- a/src/finchswitch/router/figures.py
+++ b/src/finchswitch/router/figures.py
@@ -25,6 +25,7 @@
         Figure("finchswitch_refusals", "Requests refused here, by reason.", _floats(node.refusals), "reason"),
         Figure.single("finchswitch_link_bytes", "Bytes read from other processes.", float(links.bytes_read)),
         Figure.single("finchswitch_links_given_up", "Links closed for silence.", float(links.given_up)),
+        *node.lifecycle.figures(),
     ]
 
 
--- a/src/finchswitch/router/node.py
+++ b/src/finchswitch/router/node.py
@@ -18,6 +18,7 @@
 from finchswitch.control.document import part_of
 from finchswitch.distribution import NewsBook
 from finchswitch.distribution.follow import Follower
+from finchswitch.lifecycle import Lifecycle
 from finchswitch.membership.member import Member
 from finchswitch.router.crowds import Crowds
 from finchswitch.router.dialect import AttemptError, Call, Dialect, Refusal
@@ -73,6 +74,7 @@
         self.ways: dict[str, int] = {}
         self.refusals: dict[str, int] = {}  # requests refused before any try, by status and reason
         self.stopping, self._granted = False, False
+        self.lifecycle = Lifecycle("transit")
         self._configuration: tuple[int, Any, Configuration] = (-1, {}, Configuration())
         self._table = RouteTable(Configuration())
         self.bound: dict[str, str] = {}  # the binding of each service; a checked configuration has one at the most
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -1,8 +1,14 @@
 """The figures that processes tell: enough to say what a node that does not serve is lacking."""
 
+import signal
+
 import httpx
+import pytest
 from prometheus_client.parser import text_string_to_metric_families
 
+from finchswitch.errors import FleetError
+from finchswitch.lifecycle import Lifecycle, Phase, PhaseEvent
+from finchswitch.metrics import exposition
 from finchswitch.simulation.scenes import open_up
 
 
@@ -35,3 +41,26 @@
     assert sum(each["finchswitch_owns", "creed"] for each in seen["controls"]) == 1
     assert all(each["finchswitch_current_age_ms", "creed"] >= 0 for each in seen["controls"])
     assert all(each["finchswitch_sessions", "standing"] == 4 for each in seen["controls"])
+
+
+def test_figures_tell_the_phase_and_the_signals_of_each_phase():
+    lifecycle = Lifecycle("transit")
+    lifecycle.move(PhaseEvent.OPENED)
+    lifecycle.received(signal.SIGHUP)
+    lifecycle.move(PhaseEvent.STOP)
+    lifecycle.received(signal.SIGHUP)
+    lifecycle.received(signal.SIGHUP)
+    text = exposition(lifecycle.figures()).decode()
+    assert 'finchswitch_phase{phase="stopping"} 1.0' in text
+    assert 'finchswitch_phase{phase="serving"} 0.0' in text
+    assert 'finchswitch_signals{signal="SIGHUP serving"} 1.0' in text
+    assert 'finchswitch_signals{signal="SIGHUP stopping"} 2.0' in text
+
+
+def test_a_phase_moves_only_as_its_chart_says():
+    lifecycle = Lifecycle("transit")
+    with pytest.raises(FleetError):
+        lifecycle.move(PhaseEvent.STOPPED)
+    lifecycle.move(PhaseEvent.STOP)  # a stop may come before the doors are open
+    lifecycle.move(PhaseEvent.STOPPED)
+    assert lifecycle.phase is Phase.ENDING
