--- a/src/finchswitch/platform/stand_in.py
+++ b/src/finchswitch/platform/stand_in.py
@@ -13,6 +13,7 @@
 from starlette.responses import JSONResponse, Response
 
 from finchswitch.transport import World
+from finchswitch.transport.lifespan import answer_lifespan
 
 __all__ = ["Ran", "Reached", "StandInInstance", "time_ms"]
 
@@ -70,7 +71,7 @@
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         if scope["type"] == "lifespan":
-            return
+            return await answer_lifespan(receive, send)
         request = Request(scope, receive)
         if request.method == "GET" and request.url.path in ("/health", "/api/report"):
             answer = self._health() if request.url.path == "/health" else self._report()
--- a/src/finchswitch/platform/stand_in_clients.py
+++ b/src/finchswitch/platform/stand_in_clients.py
@@ -13,7 +13,7 @@
 from finchswitch.platform.stand_in import time_ms
 from finchswitch.simulation.callers import Desk
 
-__all__ = ["Asked", "Gate", "Sent", "ask", "send_change"]
+__all__ = ["Asked", "Gate", "Sent", "ask", "read_events", "request_head", "send_change"]
 
 _LOOK_MS = 1_000.0
 _PATH = "/api/configuration"
@@ -75,8 +75,8 @@
             self.ready[name] = False
 
 
-async def ask(client: httpx.AsyncClient, front: str, asked: Asked, deadline_ms: int = 10_000) -> None:
-    """One try, to its end."""
+def request_head(asked: Asked, deadline_ms: int) -> tuple[str, dict[str, str]]:
+    """The target and the headers of a try."""
     headers = {
         "host": asked.route["host_name"],
         "x-attempt-id": asked.attempt,
@@ -85,7 +85,13 @@
         "x-prompt-prefix": f"5c1e07a{asked.attempt[0]}:40,{asked.attempt}:20",
         "x-deadline-remaining": str(deadline_ms),
     }
-    url, text = f"http://{front}{asked.route['path_prefix']}2f?q={asked.attempt}", b""
+    return f"{asked.route['path_prefix']}2f?q={asked.attempt}", headers
+
+
+async def ask(client: httpx.AsyncClient, front: str, asked: Asked, deadline_ms: int = 10_000) -> None:
+    """One try, to its end."""
+    target, headers = request_head(asked, deadline_ms)
+    url, text = f"http://{front}{target}", b""
     try:
         with anyio.fail_after(deadline_ms / 1000):
             async with client.stream("POST", url, content=asked.body, headers=headers, timeout=None) as answer:
@@ -98,10 +104,11 @@
     finally:
         asked.end_ms = time_ms()
         asked.reason = asked.reason or (text.decode() if asked.status >= 300 else "")
-        asked.got = _events(text) if asked.status == 200 else []
+        asked.got = read_events(text) if asked.status == 200 else []
 
 
-def _events(text: bytes) -> list[tuple[int, str, int, str]]:
+def read_events(text: bytes) -> list[tuple[int, str, int, str]]:
+    """The id of each whole event, and the attempt, number and instance in its data."""
     events = []
     for each in text.decode().split("\n\n")[:-1]:
         number, data = (line.partition(": ")[2] for line in each.split("\n"))
--- a/src/finchswitch/platform/stand_in_fleet.py
+++ b/src/finchswitch/platform/stand_in_fleet.py
@@ -25,6 +25,7 @@
 from finchswitch.platform.stand_in_clients import Asked, Gate, Sent, ask, send_change
 from finchswitch.platform.stand_in_documents import SERVICE
 from finchswitch.platform.stand_in_list import StandInList
+from finchswitch.platform.stand_in_settings import Place, settings_fields
 from finchswitch.programs.startup import Startup
 from finchswitch.router.asks import run_node
 from finchswitch.router.doors import Calls
@@ -39,8 +40,6 @@
 
 DEPLOYMENT = Deployment("site", ["hill", "hill", "lake"], cores=3, runners=3, slots=16, traffic=[])
 _CLOUD = "10.0.0.2:8001"
-_BOUNDS = {"catch_up_s": 4, "ack_ms": 4000, "drain_ms": 3000, "grace_s": 8, "config_apply_ms": 2000}
-_BUDGET = {"retry_budget_ratio": 0.2, "budget_window_s": 10, "budget_extra": 52}
 
 
 class StandInFleet(Cluster):
@@ -74,15 +73,9 @@
         self.listing.drain(incarnation)
 
     def _startup(self, process: Process) -> Startup:
-        kind = "edge" if process.kind == "transit" else "core"
-        seeds = [f"{each.host}:8000" for each in self.of_kind("accord")[:3]]
-        fields: dict[str, Any] = {"node_name": process.name, "machine_class": kind, "zone": process.district}
-        listen = {"front_http1": f"{process.host}:8000", "readiness": f"{process.host}:8001"}
-        fields["listen_addresses"] = listen if kind == "edge" else {"control_plane": f"{process.host}:8000"}
-        fields |= {"ip_address": process.host, "internal_port_range": [7100, 7115], "seed_nodes": seeds}
-        fields |= {"first_start": self._first_start, "data_directory": "/data" if kind == "core" else None}
-        fields |= {"fault_tolerance": {"machines": 1, "zones": 0, "regions": 0}}
-        fields |= {"timing_bounds": {**_BOUNDS, **_BUDGET}, "cloud_api": {"address": _CLOUD}}
+        seeds = [each.host for each in self.of_kind("accord")[:3]]
+        place = Place(process.name, process.host, process.district, process.kind == "transit", "/data")
+        fields = settings_fields(place, seeds, _CLOUD, self._first_start)
         file = self._folder / f"{process.name}.yaml"
         file.write_text(yaml.safe_dump(fields), "utf-8")
         return read_settings(process.kind, str(file)).unwrap()[0]
--- a/src/finchswitch/programs/cli.py
+++ b/src/finchswitch/programs/cli.py
@@ -19,6 +19,7 @@
 from finchswitch.logs import to_stderr
 from finchswitch.programs import operate, stand_ins
 from finchswitch.programs.startup import Startup, read_startup
+from finchswitch.soak.command import soak
 
 __all__ = ["app"]
 
@@ -242,5 +243,8 @@
     raise typer.Exit(run_tolerance(ToleranceTrial(loss, losses, count, disk_factor, seed=seed)))
 
 
+app.command()(soak)
+
+
 def main() -> None:
     app()
--- a/src/finchswitch/router/doors.py
+++ b/src/finchswitch/router/doors.py
@@ -14,6 +14,7 @@
 from finchswitch.router.call import answer_call
 from finchswitch.router.figures import node_figures
 from finchswitch.router.node import Node
+from finchswitch.transport.lifespan import answer_lifespan
 
 __all__ = ["Calls", "make_doors"]
 
@@ -26,17 +27,10 @@
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         if scope["type"] == "lifespan":
-            return await _live(receive, send)
+            return await answer_lifespan(receive, send)
         await answer_call(self._node, self._node.dialect, scope, receive, send)
 
 
-async def _live(receive: Any, send: Any) -> None:
-    """The server's word that it starts and stops; nothing hangs on it."""
-    while (message := await receive())["type"] != "lifespan.shutdown":
-        await send({"type": f"{message['type']}.complete"})
-    await send({"type": "lifespan.shutdown.complete"})
-
-
 def make_doors(node: Node) -> Starlette:
     async def ready(request: Request) -> Response:
         is_ready = node.ready()
--- /dev/null
+++ b/src/finchswitch/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A soak: real processes on loopback under series of signals, with callers that account for all requests."""
--- /dev/null
+++ b/src/finchswitch/soak/plan.py
@@ -0,0 +1,40 @@
+"""What one soak is made of: sizes, times and the troubles that it brings, drawn from its seed."""
+
+from dataclasses import dataclass
+from enum import Enum
+from random import Random
+
+__all__ = ["Mix", "Plan"]
+
+GRACES_S = (5, 8, 12)
+EVENTS_OF_ANSWERS = ((4, 12), (40, 120), (100, 220))  # a runner of the soak makes fifty events a second
+
+
+class Mix(Enum):
+    """Which troubles come."""
+
+    PLANNED = "planned"  # signals, restarts, changes and releases of runners
+    MIXED = "mixed"  # processes are killed and frozen as well
+
+
+@dataclass(frozen=True)
+class Plan:
+    """One soak. Times are in the unit of the name."""
+
+    seed: int
+    seconds: float = 30.0
+    edges: int = 4
+    cores: int = 3
+    runners: int = 3
+    clients: int = 24
+    mix: Mix = Mix.PLANNED
+    grace_s: int = 8
+    series_pause_s: float = 1.0  # between two series of signals, on average
+
+    @classmethod
+    def drawn(cls, seed: int, seconds: float, edges: int, cores: int, clients: int, mix: Mix | None) -> "Plan":
+        """The plan of a seed; sizes are given, the grace time and, where none is given, the mix are drawn."""
+        chance = Random(seed)
+        grace_s, pause_s = chance.choice(GRACES_S), chance.uniform(0.3, 2.5)
+        drawn = chance.choice([Mix.PLANNED, Mix.PLANNED, Mix.MIXED])
+        return cls(seed, seconds, edges, cores, 3, clients, mix or drawn, grace_s, pause_s)
