Signals keep one meaning from a program's first line to its last

Cause: transit and accord listened to signals up to the first SIGTERM. Behind it, and before the listening began, each signal had the operating system's meaning: SIGHUP, SIGUSR1 and SIGUSR2 ended the process at once, a second SIGINT by KeyboardInterrupt. A planned stop was so cut short, with its answers. Ruled out: a stop that runs out of time (cuts came 0.3 and 3.8 s into one of 7.2 s); a failure on reading the settings again (serving nodes took the same SIGHUP, and the tests end by the signal's own code). Change: handlers stand before the large imports and are never taken away; the loop that follows signals runs to the end of the stop. SIGHUP reads the seeds again in every phase, SIGTERM and SIGINT ask for a stop once, SIGUSR1 and SIGUSR2 mean nothing. Before: the three tests failed.

--- a/deploy/launch.py
+++ b/deploy/launch.py
@@ -10,6 +10,10 @@
 sys.modules["httpx._main"] = None  # type: ignore[assignment]
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
 
+from finchswitch.programs.signals import process_signals  # noqa: E402
+
+process_signals()  # before the large imports
+
 from finchswitch.platform.programs import main  # noqa: E402
 
 sys.exit(main())
--- a/src/finchswitch/lifecycle.py
+++ b/src/finchswitch/lifecycle.py
@@ -8,6 +8,8 @@
 from collections import Counter
 from enum import Enum
 
+import anyio
+
 from finchswitch.logs import prefix
 from finchswitch.metrics import Figure
 from finchswitch.state_machines import StateMachine, load_transitions
@@ -38,6 +40,7 @@
         self._log = prefix(program)
         self._machine = StateMachine(_CHART, program)
         self._received: Counter[str] = Counter()
+        self.stop_asked = anyio.Event()
         self.answers_cut = 0
 
     @property
--- a/src/finchswitch/platform/__main__.py
+++ b/src/finchswitch/platform/__main__.py
@@ -2,6 +2,10 @@
 
 import sys
 
-from finchswitch.platform.programs import main
+from finchswitch.programs.signals import process_signals
+
+process_signals()  # before the large imports
+
+from finchswitch.platform.programs import main  # noqa: E402
 
 sys.exit(main())
--- a/src/finchswitch/programs/accord.py
+++ b/src/finchswitch/programs/accord.py
@@ -1,6 +1,5 @@
 """accord, the control node: a control on its data folder and the operators' desk."""
 
-import signal
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -14,6 +13,7 @@
 from finchswitch.control.operator_api import make_operator_api
 from finchswitch.control.server import run_control_node
 from finchswitch.lifecycle import PhaseEvent
+from finchswitch.programs.signals import follow_signals, process_signals
 from finchswitch.programs.startup import Startup
 from finchswitch.storage import RealDisk
 from finchswitch.transport.real import RealWorld
@@ -33,21 +33,22 @@
     desk: Callable[[ControlNode], Any],
     seeds: Callable[[], list[str]],
 ) -> None:
-    """Run a control node behind its desk until SIGTERM; on SIGHUP the seeds are read again."""
+    """Run a control node behind its desk until it has stopped as asked; on SIGHUP the seeds are read again."""
     control = ControlNode(world, RealDisk(Path(startup.data)), startup, group)
     stop, closed = anyio.Event(), anyio.Event()
     group.start_soon(run_control_node, control)
     group.start_soon(_serve, world, desk(control), startup.http, stop, closed)
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-        control.lifecycle.move(PhaseEvent.OPENED)
-        async for each in signals:
-            control.lifecycle.received(each)
-            if each is not signal.SIGHUP:
-                break
-            control.control_peers.new_seeds(seeds())
-    control.lifecycle.move(PhaseEvent.STOP)
-    await stop_control_node(control, stop, closed)
-    control.lifecycle.move(PhaseEvent.STOPPED)
+    with process_signals().listening() as signals:
+        async with anyio.create_task_group() as following:
+            following.start_soon(
+                follow_signals, signals, control.lifecycle, lambda: control.control_peers.new_seeds(seeds())
+            )
+            control.lifecycle.move(PhaseEvent.OPENED)
+            await control.lifecycle.stop_asked.wait()
+            control.lifecycle.move(PhaseEvent.STOP)
+            await stop_control_node(control, stop, closed)
+            control.lifecycle.move(PhaseEvent.STOPPED)
+            following.cancel_scope.cancel()
     group.cancel_scope.cancel()
 
 
--- a/src/finchswitch/programs/transit.py
+++ b/src/finchswitch/programs/transit.py
@@ -1,6 +1,5 @@
 """transit, the routing node: its planes, its doors, and a stop that lets streams finish."""
 
-import signal
 from collections.abc import Callable
 from typing import Any
 
@@ -10,6 +9,7 @@
 from finchswitch.constants import CALLER_STILL_MS, STOP_CLOSE_MS, STOP_LOOK_MS
 from finchswitch.lifecycle import PhaseEvent
 from finchswitch.logs import prefix
+from finchswitch.programs.signals import follow_signals, process_signals
 from finchswitch.programs.startup import Startup
 from finchswitch.router.asks import run_node
 from finchswitch.router.doors import make_doors
@@ -30,21 +30,22 @@
 
 
 async def serve_transit(world: World, node: Node, doors: Any, group: TaskGroup, seeds: Callable[[], list[str]]) -> None:
-    """Run a node behind its doors until SIGTERM; on SIGHUP the seeds are read again."""
+    """Run a node behind its doors until it has stopped as asked; on SIGHUP the seeds are read again, in any phase."""
     stop, closed = anyio.Event(), anyio.Event()
     group.start_soon(run_node, node)
     group.start_soon(_serve, world, doors, node.startup.http, stop, closed)
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-        node.lifecycle.move(PhaseEvent.OPENED)
-        async for each in signals:
-            node.lifecycle.received(each)
-            if each is not signal.SIGHUP:
-                break
-            node.member.controls.new_seeds(seeds())
-    node.lifecycle.move(PhaseEvent.STOP)
-    _log.notice("{} requests under way.", len(node.underway))
-    await stop_node(node, stop, closed)
-    node.lifecycle.move(PhaseEvent.STOPPED)
+    with process_signals().listening() as signals:
+        async with anyio.create_task_group() as following:
+            following.start_soon(
+                follow_signals, signals, node.lifecycle, lambda: node.member.controls.new_seeds(seeds())
+            )
+            node.lifecycle.move(PhaseEvent.OPENED)
+            await node.lifecycle.stop_asked.wait()
+            node.lifecycle.move(PhaseEvent.STOP)
+            _log.notice("{} requests under way.", len(node.underway))
+            await stop_node(node, stop, closed)
+            node.lifecycle.move(PhaseEvent.STOPPED)
+            following.cancel_scope.cancel()
     group.cancel_scope.cancel()
 
 
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -5,6 +5,7 @@
 import socket
 import subprocess
 import sys
+import threading
 from pathlib import Path
 
 import yaml
@@ -40,12 +41,15 @@
         command = [sys.executable, "-m", "finchswitch.platform", program]
         environment = {**os.environ, BOOT: str(settings)}
         self._process = subprocess.Popen(command, stderr=subprocess.PIPE, text=True, env=environment)
+        self._watchdog = threading.Timer(_WAIT_S, self._process.kill)
+        self._watchdog.start()
         self.lines = []
 
     def __enter__(self):
         return self
 
     def __exit__(self, *_):
+        self._watchdog.cancel()
         self._process.kill()
         self._process.wait()
         self._process.stderr.close()
@@ -54,7 +58,10 @@
         self._process.send_signal(number)
 
     def read_until(self, text) -> bool:
-        """Whether a line of the output holds the text; False when the output ended before."""
+        """Whether a line of the output holds the text; False when the output ended before, or the process was silent.
+
+        A process that hangs is ended outright after a minute, so that no test waits for ever.
+        """
         for line in self._process.stderr:
             self.lines.append(line)
             if text in line:
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -38,7 +38,10 @@
             os.mkfifo(pipe)
             with ProgramProcess(program, pipe) as process, open(pipe, "w", encoding="utf-8") as settings:
                 process.send(number)
-                settings.write(written_settings(program, tmp_path))
+                text = written_settings(program, tmp_path)
+                pipe.unlink()
+                pipe.write_text(text, "utf-8")  # what a SIGHUP has read again
+                settings.write(text)
                 settings.close()
                 if number in (signal.SIGTERM, signal.SIGINT):
                     ended = process.read_until("Now ending")
