--- a/src/finchswitch/soak/fleet.py
+++ b/src/finchswitch/soak/fleet.py
@@ -18,7 +18,7 @@
 from finchswitch.platform.stand_in_settings import FRONT_PORT, Place
 from finchswitch.soak.clients import Request
 from finchswitch.soak.machines import Life, Machine
-from finchswitch.soak.plan import Plan
+from finchswitch.soak.plan import EVENT_MS, Plan
 from finchswitch.transport.real import RealWorld
 
 __all__ = ["SoakFleet"]
@@ -98,7 +98,7 @@
     async def start_runner(self) -> str:
         self._runners += 1
         name, host = f"runner{self._runners}", f"127.{self._net}.2.{self._runners}"
-        self.instances[name] = StandInInstance(self.world, SERVICE, name, _SLOTS)
+        self.instances[name] = StandInInstance(self.world, SERVICE, name, _SLOTS, event_ms=EVENT_MS)
         await self._serve(self.instances[name], f"{host}:{RUNNER_PORT}")
         self.listing.put(name, SERVICE, f"{host}:{RUNNER_PORT}", _SLOTS)
         return name
--- a/src/finchswitch/soak/plan.py
+++ b/src/finchswitch/soak/plan.py
@@ -7,7 +7,8 @@
 __all__ = ["Mix", "Plan"]
 
 GRACES_S = (5, 8, 12)
-EVENTS_OF_ANSWERS = ((4, 12), (40, 120), (100, 220))  # a runner of the soak makes fifty events a second
+EVENT_MS = 60.0  # between two events of an answer: a few hundred a second of all are what one loop carries with ease
+EVENTS_OF_ANSWERS = ((2, 6), (8, 25), (20, 45))  # up to three seconds, of which most end within a stop
 
 
 class Mix(Enum):
--- a/src/finchswitch/soak/run.py
+++ b/src/finchswitch/soak/run.py
@@ -1,6 +1,7 @@
 """One soak from start to end, and its report."""
 
 import json
+import signal
 from collections import Counter
 from dataclasses import asdict, dataclass, field
 from pathlib import Path
@@ -63,6 +64,7 @@
 
 async def _run(plan: Plan, folder: Path, net: int) -> Report:
     async with anyio.create_task_group() as group:
+        group.start_soon(_end_on_signal, group.cancel_scope)
         fleet = SoakFleet(plan, folder, group, net)
         try:
             late = await _soak(fleet)
@@ -74,6 +76,13 @@
     return report
 
 
+async def _end_on_signal(scope: anyio.CancelScope) -> None:
+    """A soak that is told to stop ends its processes first."""
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        async for number in signals:
+            scope.cancel(f"{number.name}")
+
+
 async def _soak(fleet: SoakFleet) -> dict[str, list[str]]:
     """Start, soak, come to rest, read back, stop; what came too late or not at all, by check."""
     plan, found = fleet.plan, dict[str, list[str]]()
