A stop takes requests for less than 3 s, leaves its last second to its own end, and no settings file ends a program

Stops took requests for 0.4 of the grace time, 3.2 s of 8. They ended 0.8 s before SIGKILL, of which leaving each control node in turn took up to 0.2 s a node: some were killed on their way out. Settings that are read again may hold what YAML cannot make a value of (a date, a number of 5,000 digits, 3,000 brackets), and infinity as a bound: each ended the program by an exception on SIGHUP.

--- a/src/finchswitch/constants.py
+++ b/src/finchswitch/constants.py
@@ -151,6 +151,8 @@
 # Stopping
 STOP_LOOK_MS: Final = 20  # between two looks at whether a stopping node has anything under way
 STOP_CLOSE_MS: Final = 300  # a stopping node's connections close within this once nothing is under way
+STOP_END_MS: Final = 1_000  # of the grace time, for what follows the streams: closing, leaving, the interpreter's end
+STOP_TAKES_MOST_MS: Final = 2_800  # after its SIGTERM a node takes requests no longer: the platform counts 3 s
 STOP_SETTLE_MS: Final = 500  # after unready and before the door closes: the platform looks again meanwhile
 ANSWER_MOST_MS: Final = 600_000  # default bound of one answer; a summary of a large file takes a few minutes
 ANSWER_LEAST_MS: Final = 10_000  # a bound under this would cut ordinary answers
--- a/src/finchswitch/membership/member.py
+++ b/src/finchswitch/membership/member.py
@@ -5,6 +5,8 @@
 holds. After any gap it serves again only when what it holds is confirmed.
 """
 
+import anyio
+
 from finchswitch.bounds import Bounds
 from finchswitch.constants import (
     BEAT_MS,
@@ -235,8 +237,12 @@
 
     async def leave(self) -> None:
         """End the session cleanly, at every control node that may hold it."""
-        for address in self.controls.addresses:
-            try:
-                await self._book.ask(address, "session.leave", {"name": self.card["name"]}, BEAT_MS)
-            except FleetError as error:
-                _log.info("A leave went unheard. {}", error)
+        async with anyio.create_task_group() as group:
+            for address in self.controls.addresses:
+                group.start_soon(self._leave_at, address)
+
+    async def _leave_at(self, address: str) -> None:
+        try:
+            await self._book.ask(address, "session.leave", {"name": self.card["name"]}, BEAT_MS)
+        except FleetError as error:
+            _log.info("A leave went unheard. {}", error)
--- a/src/finchswitch/platform/programs.py
+++ b/src/finchswitch/platform/programs.py
@@ -14,7 +14,7 @@
 from finchswitch.control.control_node import ControlNode
 from finchswitch.control.operator_api import make_operator_api
 from finchswitch.errors import FleetError, causes_of
-from finchswitch.logs import to_stderr
+from finchswitch.logs import prefix, to_stderr
 from finchswitch.platform.calls import PlatformDialect
 from finchswitch.platform.desk import desk_routes
 from finchswitch.platform.instances import InstanceLister
@@ -29,6 +29,7 @@
 
 __all__ = ["main", "make_control", "make_looks"]
 
+_log = prefix("settings")
 _READINESS = "/api/readiness"
 
 
@@ -63,7 +64,10 @@
 def _seeds(program: str, startup: Startup) -> list[str]:
     """The seeds as the settings file names them now; the present ones where it cannot be read."""
     read = read_settings(program, os.environ.get(BOOT, ""))
-    return startup.seeds if isinstance(read, Failure) else read.unwrap()[0].seeds
+    if isinstance(read, Failure):
+        _log.warning("The settings cannot be read again; the former seeds stand. {}", "; ".join(read.failure()))
+        return startup.seeds
+    return read.unwrap()[0].seeds
 
 
 def main() -> int:
--- a/src/finchswitch/platform/settings.py
+++ b/src/finchswitch/platform/settings.py
@@ -19,6 +19,8 @@
     PEER_BEAT_MS,
     PEERS_MOST,
     REPLACE_AFTER_MS,
+    STOP_END_MS,
+    STOP_TAKES_MOST_MS,
 )
 from finchswitch.programs.startup import Startup, address_faults
 
@@ -26,6 +28,8 @@
 
 BOOT = "FINCHSWITCH_BOOT"  # the variable that holds the path of the settings file
 _FACES = {"transit": "front_http1", "accord": "control_plane"}
+NUMBER_MOST = 1e12  # past any time or size that a deployment has; infinity and NaN are past it too
+_SHOWN_MOST = 40
 
 
 def read_settings(program: str, path: str) -> Result[tuple[Startup, str], list[str]]:
@@ -34,7 +38,7 @@
         raw = yaml.safe_load(Path(path).read_text("utf-8"))
     except (OSError, UnicodeDecodeError) as error:
         return Failure([f"{BOOT}: {path}: {error}"])
-    except yaml.YAMLError as error:
+    except (yaml.YAMLError, ValueError, OverflowError, RecursionError) as error:  # a date or a number that is none
         return Failure([f"{BOOT}: {path}: {' '.join(str(error).split())}"])
     if not isinstance(raw, dict):
         return Failure([f"{BOOT}: {path}: not a table of fields"])
@@ -66,8 +70,8 @@
 
     def number(self, *path: str, least: float = 0.0) -> float:
         value = self.get(*path)
-        if isinstance(value, bool) or not isinstance(value, (int, float)) or value < least:
-            reason = "missing" if value is None else f"{value!r} is not a number from {least:g} on"
+        if isinstance(value, bool) or not isinstance(value, (int, float)) or not least <= value <= NUMBER_MOST:
+            reason = "missing" if value is None else f"{_shown(value)} is not a number from {least:g} on"
             self.faults.append(f"{'.'.join(path)}: {reason}")
             return least
         return float(value)
@@ -78,6 +82,10 @@
         return value
 
 
+def _shown(value: Any) -> str:
+    return repr(value)[:_SHOWN_MOST] if not isinstance(value, int) or abs(value) < NUMBER_MOST else "a huge number"
+
+
 def _startup(program: str, reader: _Reader) -> Startup:
     ports, seeds = reader.get("internal_port_range"), reader.get("seed_nodes")
     port = ports[0] if isinstance(ports, list) and ports and isinstance(ports[0], int) else 0
@@ -128,8 +136,8 @@
         tries_window_ms=1000 * bound("budget_window_s"),
         tries_fleet_floor=0.75 * bound("budget_extra"),
         tries_share=0.75 * bound("retry_budget_ratio"),
-        stop_settle_ms=0.4 * grace_ms,
-        grace_ms=0.9 * grace_ms,
+        stop_settle_ms=min(0.4 * grace_ms, STOP_TAKES_MOST_MS),
+        grace_ms=max(0.85 * grace_ms, min(0.9 * grace_ms, grace_ms - STOP_END_MS)),
         aim_share=0.8,
         late_share=2.5,
     )
--- a/src/finchswitch/programs/transit.py
+++ b/src/finchswitch/programs/transit.py
@@ -66,12 +66,13 @@
     with anyio.move_on_after(most_ms / 1000):
         while node.underway:
             await node.world.sleep(STOP_LOOK_MS)
-        most_ms = STOP_CLOSE_MS if bounds.grace_ms is not None else most_ms
     node.lifecycle.answers_cut = len(node.underway)
     if node.underway:
         _log.warning("The time to stop is over with {} requests under way; they are cut.", len(node.underway))
     stop.set()
-    with anyio.move_on_after(most_ms / 1000 if not node.underway else STOP_CLOSE_MS / 1000):
-        await closed.wait()
-    await node.member.leave()
+    close_ms = STOP_CLOSE_MS if bounds.grace_ms is not None else most_ms
+    async with anyio.create_task_group() as group:
+        group.start_soon(node.member.leave)
+        with anyio.move_on_after(0.0 if node.underway else close_ms / 1000):
+            await closed.wait()
     _log.info("Left.")
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -97,7 +97,25 @@
     assert read(tmp_path, more) == read(tmp_path, FILE)
 
 
-@pytest.mark.parametrize("content", ["a: [", "a: b: c", "- a", "", "text"])
+@pytest.mark.parametrize("deadline", [".inf", ".nan", "-1", "1" + "0" * 400, "yes", "[]"])
+def test_a_bound_that_is_no_number_of_this_world_is_one_line(tmp_path, deadline):
+    content = yaml.safe_dump(FILE).replace("grace_s: 8", f"grace_s: {deadline}")
+    (fault,) = read(tmp_path, content).failure()
+    assert fault.startswith("timing_bounds.grace_s: ") and "\n" not in fault and len(fault) < 120
+
+
+@pytest.mark.parametrize("grace_s", [2, 5, 8, 12, 60])
+def test_a_stop_leaves_room_behind_its_streams_and_takes_no_request_too_long(tmp_path, grace_s):
+    bounds = read(tmp_path, with_value(grace_s, "timing_bounds", "grace_s")).unwrap()[0].bounds
+    assert bounds.stop_settle_ms < 3_000 and bounds.stop_settle_ms < bounds.grace_ms
+    assert bounds.grace_ms > 1000 * grace_s * 5 / 6  # what is under way may be cut only in the last sixth
+    assert 1000 * grace_s - bounds.grace_ms >= min(1_000, 150 * grace_s)
+
+
+WRONG = ["a: [", "a: b: c", "- a", "", "text", "a: 2001-99-99", "a: " + "9" * 5000, "[" * 3000, "a: \x00"]
+
+
+@pytest.mark.parametrize("content", WRONG)
 def test_a_file_that_is_no_table_of_fields_is_one_line(tmp_path, content):
     (fault,) = read(tmp_path, content).failure()
     assert fault.startswith("FINCHSWITCH_BOOT: ") and str(tmp_path) in fault and "\n" not in fault
