--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -50,3 +50,57 @@
                     process.send(signal.SIGTERM)
                 ends[program, number.name] = (ended, process.code())
     assert ends == dict.fromkeys(ends, (True, 0))
+
+
+def test_a_serving_program_goes_on_after_signals_that_ask_for_no_stop(tmp_path):
+    for program in PROGRAMS:
+        settings = tmp_path / f"{program}.yaml"
+        with started(program, tmp_path) as process:
+            assert process.read_until("Now serving")
+            for spoiled in (None, "", "seed_nodes: [", "- a list", "zone: 2001-99-99", "\x00"):
+                settings.unlink(missing_ok=True)
+                if spoiled is not None:
+                    settings.write_text(spoiled, "utf-8")
+                process.send(signal.SIGHUP)
+                assert process.read_until("SIGHUP while serving")
+                assert process.read_until("The settings cannot be read again")
+            for number in WITHOUT_MEANING:
+                process.send(number)
+            process.send(signal.SIGTERM)
+            assert process.read_until("SIGTERM while serving") and process.code() == 0
+
+
+def test_a_signal_behind_the_stop_changes_nothing(tmp_path):
+    ends = {}
+    for program in PROGRAMS:
+        for number in HANDLED:
+            with started(program, tmp_path) as process:
+                assert process.read_until("Now serving")
+                process.send(signal.SIGTERM)
+                assert process.read_until("Now ending")
+                process.send(number)
+                ends[program, number.name] = process.code()
+    assert ends == dict.fromkeys(ends, 0)
+
+
+def test_quit_and_kill_end_a_program_at_once_in_any_phase(tmp_path):
+    for program in PROGRAMS:
+        for phase in ("serving", "stopping"):
+            for number in (signal.SIGQUIT, signal.SIGKILL):
+                with started(program, tmp_path, grace_s=30) as process:
+                    assert process.read_until("Now serving")
+                    if phase == "stopping":
+                        process.send(signal.SIGTERM)
+                        assert process.read_until("Now stopping")
+                    process.send(number)
+                    assert (process.read_until("Now ending"), process.code()) == (False, -number)
+
+
+def test_what_comes_to_a_frozen_program_is_taken_when_it_wakes(tmp_path):
+    for program in PROGRAMS:
+        with started(program, tmp_path) as process:
+            assert process.read_until("Now serving")
+            for number in (signal.SIGSTOP, signal.SIGHUP, signal.SIGTERM, signal.SIGCONT):
+                process.send(number)
+            assert process.read_until("Now stopping") and process.code() == 0
+            assert any("SIGHUP while" in line for line in process.lines)
