An answer is taken from a silent runner only where another can go on with it; a stopping node lets what it took go on

The watch gave an answer up for silence if its route allows resuming, without asking whether another runner could be sent to. Where all were silent at once, where the route's runners were used up, or where the node was stopping and so granted nothing, the answer was cut, by nothing but silence. For the same reason an answer whose runner broke was not taken up at a stopping node. Ruled out: the node's own stall, which the watch accounts for already. Change: all silent runners are doubted before any answer is taken from one; an answer is taken only if it can be resumed behind what was passed on, the route allows one more runner, and one may be sent to.

--- a/src/finchswitch/router/call.py
+++ b/src/finchswitch/router/call.py
@@ -44,6 +44,11 @@
         self.at: str | None = None
         self.pieces = 0
 
+    @property
+    def can_be_taken_up(self) -> bool:
+        """Whether another runner could go on behind what the caller has, the call's own terms aside."""
+        return self.head is None or (self.at is not None and not self.head.failed)
+
     async def begin(self, head: Head, status: int, headers: Headers) -> None:
         self.head = head
         await _start(self._node, self._send, status, headers)
@@ -108,7 +113,7 @@
             break
         drawn, due_ms = granted
         try:
-            await _pass_on(node, dialect, call, drawn, due_ms, began_ms, flow)
+            await _pass_on(node, dialect, call, drawn, due_ms, began_ms, flow, frozenset(tried))
             return True
         except AttemptError as error:
             _log.info("A try failed, {}, after {} pieces. {}", error.fate.value, flow.pieces, error)
@@ -118,7 +123,7 @@
             if fate is Fate.NOT_RUN:
                 node.sent.take_back(call.request_id)
             node.missed(drawn.runner.incarnation, error)
-        taken_up = call.resumable and (flow.head is None or (flow.at is not None and not flow.head.failed))
+        taken_up = call.resumable and flow.can_be_taken_up
         repeats = flow.head is None and (fate is Fate.NOT_RUN or call.repeatable)
         if not (taken_up or repeats) or last.step == "limit" or len(tried) >= (call.most_runners or len(tried) + 1):
             break
@@ -137,7 +142,14 @@
 
 
 async def _pass_on(
-    node: "Node", dialect: Dialect, call: Call, drawn: Drawn, due_ms: float, began_ms: float, flow: _Flow
+    node: "Node",
+    dialect: Dialect,
+    call: Call,
+    drawn: Drawn,
+    due_ms: float,
+    began_ms: float,
+    flow: _Flow,
+    tried: frozenset[str],
 ) -> None:
     """One try; raises a AttemptError unless the answer is whole now."""
     known, seat = node.roster.known[drawn.runner.incarnation], node.take_seat(drawn, call.rank or 0)
@@ -148,7 +160,7 @@
     left_ms = began_ms + limit_ms - node.world.now_ms()
     reason = "longer than its caller waits" if call.limit_ms else "longer than answerMostMs allows"
     with anyio.move_on_after(left_ms / 1000) as scope:
-        watched = node.watch.begin(known, call, drawn.first_ms)
+        watched = node.watch.begin(known, call, drawn.first_ms, tried)
         attempt = _Attempt(node, dialect, drawn, ticket, seat, watched, flow)
         try:
             async with aclosing(answer_of(node, dialect, known, call, ticket, due_ms, left_ms, flow.at)) as answer:
@@ -186,6 +198,7 @@
                 await self._open(head)
             if piece is not None:
                 await self.flow.pass_on(piece)
+            self.watched.can_be_taken_up = self.flow.can_be_taken_up
 
     async def _open(self, head: Head) -> None:
         """Begin the answer to the caller, or see that this one takes the begun answer up."""
--- a/src/finchswitch/router/node.py
+++ b/src/finchswitch/router/node.py
@@ -170,7 +170,7 @@
 
     def grant(self, call: Call, tried: set[str], began_ms: float) -> tuple[Drawn, float] | Refusal:
         """A seat for the call and the time left until its first token is due, or why there is none."""
-        if not self.may_grant():
+        if not self._may_grant_try(tried):
             return Refusal(503, f"this node is {self.member.state.value}")
         configuration, opening, now_ms = self.configuration(), call.opening, self.world.now_ms()
         service = configuration.services.get(call.service)
@@ -193,6 +193,19 @@
             return Refusal(429, "no runner can give a timely first token")
         return drawn, due_ms
 
+    def _may_grant_try(self, tried: set[str]) -> bool:
+        """A stopping node takes no request any more, but those that it took may go on at further runners."""
+        return self.may_grant() or (bool(tried) and self.stopping and self.member.may_send())
+
+    def has_another_runner(self, call: Call, tried: set[str]) -> bool:
+        """Whether a call that was sent to these runners may be sent to one more, and one is there."""
+        service = self.configuration().services.get(call.service)
+        able = self.runners_of(call.service, call.opening.digest)
+        if service is None or able is None or not self._may_grant_try(tried):
+            return False
+        is_last = call.most_runners is not None and len(tried) >= call.most_runners
+        return not is_last and bool(self._seatable(call.service, service, able[0], tried))
+
     def _seatable(self, name: str, service: Service, able: list[str], tried: set[str]) -> list[Seatable]:
         """The able runners that may be sent to now and were not tried."""
         up, runners = self.roster.up(), self.configuration().runners
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -31,7 +31,7 @@
     """What the watch sees of a runner."""
 
     def __init__(self):
-        self.heard_ms, self.down_until_ms = -1e18, 0.0
+        self.runner, self.heard_ms, self.down_until_ms = "r", -1e18, 0.0
 
     def heard(self, now_ms):
         self.heard_ms = now_ms
@@ -48,6 +48,9 @@
         known.down_until_ms = self.world.ms + 400
         self.doubted.append(known)
 
+    def has_another_runner(self, call, tried):
+        return True
+
     def may_try_again(self, service):
         self.budget -= 1
         return self.budget >= 0
@@ -66,8 +69,7 @@
 
 def judged(node, watch):
     """One look, as the loop does it."""
-    for each in list(watch._tries):
-        watch._judge(each, node.world.ms)
+    watch._judge(list(watch._tries), node.world.ms)
 
 
 def test_an_answer_that_waits_at_a_runner_which_speaks_to_others_is_not_given_up():
--- a/tests/test_silent_answers.py
+++ b/tests/test_silent_answers.py
@@ -54,6 +54,7 @@
         self.sent = SimpleNamespace(take_back=lambda *_: None)
         self.take_seat = lambda drawn, rank: SimpleNamespace(begun=lambda weights: None, free=lambda: None)
         self.may_try_again, self.missed = lambda service: True, lambda incarnation, error: None
+        self.has_another_runner = lambda call, tried: True
         self.granted = 0
 
     def grant(self, call, tried, began_ms):
@@ -113,7 +114,7 @@
             node.world._machine.stall(0.0)
             for watched in list(node.watch._tries):
                 watched.last_ms = node.known.heard_ms = -1e18
-                node.watch._judge(watched, node.world.now_ms())  # in the step in which the piece comes
+                node.watch._judge([watched], node.world.now_ms())  # in the step in which the piece comes
 
     answering(monkeypatch, run)
 
