--- a/src/finchswitch/soak/checks.py
+++ b/src/finchswitch/soak/checks.py
@@ -2,6 +2,8 @@
 
 import math
 import signal
+from collections import Counter
+from enum import Enum
 from typing import Any
 
 from finchswitch.platform.stand_in_checks import Seen, judge
@@ -10,7 +12,7 @@
 from finchswitch.soak.fleet import SoakFleet
 from finchswitch.soak.machines import Life, Machine
 
-__all__ = ["breaches_of", "seen_of"]
+__all__ = ["Excuse", "breaches_of", "excuses", "not_in_force"]
 
 CONTACT_MS = 3_000.0  # unplanned trouble excuses what is asked so long after it
 LOSS_SLACK_MS = 300.0  # a request that crosses the close of its connection
@@ -39,7 +41,7 @@
     ]
     sent = [each for each in fleet.requests if each.outcome is not Outcome.UNSENT]
     reached = {each.attempt for each in seen.reached}
-    lost = [each for each in sent if _is_lost(fleet, each, each.attempt in reached)]
+    lost = [each for each in sent if excuse_of(fleet, each, each.attempt in reached) is Excuse.NONE]
     found["neither answered nor refused"] = [describe(fleet, each, each.attempt in reached) for each in lost]
     found["failed"] = [describe(fleet, each, each.attempt in reached) for each in sent if _is_failed(fleet, each)]
     return {name: wrong for name, wrong in found.items() if wrong}
@@ -91,18 +93,37 @@
     return f"after {life.ended_ms - life.started_ms:.0f} ms: {signals or 'no signal'}"
 
 
-def _is_lost(fleet: SoakFleet, request: Request, reached: bool) -> bool:
-    """Whether a request that a process had taken ended without an answer, and nothing excuses that."""
+class Excuse(Enum):
+    """Why a request may have ended without an answer."""
+
+    NO_PROCESS = "sent to no process"
+    TROUBLE = "unplanned trouble"
+    CROSSED = "crossed the close, not passed on"
+    STOP_OVER = "still at work in the last sixth of the grace time"
+    NONE = "none"
+
+
+def excuse_of(fleet: SoakFleet, request: Request, reached: bool) -> Excuse | None:
+    """What excuses a request that ended without an answer; None for one that was answered, refused or never sent."""
     if request.outcome not in (Outcome.SILENT, Outcome.BROKEN, Outcome.OVERDUE):
-        return False
+        return None
     life = life_of(fleet.machines[request.node], request.sent_ms)
-    if life is None or _is_troubled(fleet, request):
-        return False
+    if life is None:
+        return Excuse.NO_PROCESS
+    if _is_troubled(fleet, request):
+        return Excuse.TROUBLE
     if not reached and request.end_ms - request.sent_ms <= LOSS_SLACK_MS:
-        return False
+        return Excuse.CROSSED
     taken_in_time = request.sent_ms <= life.stopped_ms + TAKEN_MS
     is_late = request.end_ms >= life.stopped_ms + LATE_SHARE * 1000 * fleet.plan.grace_s
-    return not (taken_in_time and is_late)
+    return Excuse.STOP_OVER if taken_in_time and is_late else Excuse.NONE
+
+
+def excuses(fleet: SoakFleet) -> dict[str, int]:
+    """How many requests ended without an answer, by their excuse."""
+    reached = {each.attempt for each in seen_of(fleet).reached}
+    found = [excuse_of(fleet, each, each.attempt in reached) for each in fleet.requests]
+    return dict(Counter(each.value for each in found if each is not None))
 
 
 def _is_failed(fleet: SoakFleet, request: Request) -> bool:
--- a/src/finchswitch/soak/machines.py
+++ b/src/finchswitch/soak/machines.py
@@ -53,7 +53,9 @@
 
     def write_settings(self, seeds: list[str], first_start: bool) -> None:
         fields = settings_fields(self.place, seeds, self._cloud, first_start)
-        self._settings.write_text(yaml.safe_dump(fields), "utf-8")
+        whole = self._settings.with_suffix(".new")
+        whole.write_text(yaml.safe_dump(fields), "utf-8")
+        whole.replace(self._settings)  # a program that starts meanwhile must not find half of it
 
     def spoil_settings(self, text: str | None) -> None:
         """Leave a settings file that cannot be read, or none."""
--- a/src/finchswitch/soak/run.py
+++ b/src/finchswitch/soak/run.py
@@ -14,7 +14,7 @@
 from finchswitch.platform.stand_in_clients import ask
 from finchswitch.platform.stand_in_documents import DOCUMENT, RESUMED, UNSAFE
 from finchswitch.platform.stand_in_settings import FRONT_PORT
-from finchswitch.soak.checks import breaches_of, not_in_force
+from finchswitch.soak.checks import breaches_of, excuses, not_in_force
 from finchswitch.soak.clients import Caller, Outcome, Request
 from finchswitch.soak.fleet import SoakFleet, take_net
 from finchswitch.soak.plan import Plan
@@ -34,6 +34,7 @@
     plan: Plan
     requests: dict[str, int] = field(default_factory=dict)  # by outcome
     asked_of_stopping: int = 0
+    unanswered: dict[str, int] = field(default_factory=dict)  # without an answer, by what excuses it
     lives: int = 0
     signals: dict[str, int] = field(default_factory=dict)
     changes: dict[str, int] = field(default_factory=dict)  # by the last status; 0 for no clear answer
@@ -45,11 +46,13 @@
         size = f"{plan.edges}+{plan.cores} processes, {plan.mix.value}, grace {plan.grace_s} s"
         total = sum(self.requests.values())
         counts = ", ".join(f"{count} {name}" for name, count in sorted(self.requests.items()))
+        unanswered = ", ".join(f"{count} {name}" for name, count in sorted(self.unanswered.items()))
         signals = ", ".join(f"{count} {name}" for name, count in sorted(self.signals.items()))
         changes = ", ".join(f"{count} x {status}" for status, count in sorted(self.changes.items()))
         verdict = "BROKEN: " + ", ".join(self.breaches) if self.breaches else "nothing broken"
         return (
             f"seed {plan.seed}: {size}; {total} requests ({counts}; {self.asked_of_stopping} of stopping nodes); "
+            f"without an answer: {unanswered or 'none'}; "
             f"{self.lives} lives; {signals}; changes {changes}; {verdict}"
         )
 
@@ -135,6 +138,7 @@
         plan=fleet.plan,
         requests=dict(Counter(each.outcome.value for each in fleet.requests)),
         asked_of_stopping=stopping,
+        unanswered=excuses(fleet),
         lives=len(lives),
         signals=dict(Counter(number.name for life in lives for _, number in life.signals)),
         changes=dict(Counter(str(sent.status) for sent in fleet.changes)),
