--- a/tests/processes.py
+++ b/tests/processes.py
@@ -37,8 +37,10 @@
 class ProgramProcess:
     """One program; leaving the block ends it outright if it still runs."""
 
-    def __init__(self, program, settings: Path):
-        command = [sys.executable, "-m", "finchswitch.platform", program]
+    def __init__(self, program, settings: Path | None, *flags):
+        """Start it on the platform with a settings file, or as a command of the product with flags alone."""
+        module = "finchswitch.platform" if settings else "finchswitch"
+        command = [sys.executable, "-m", module, program, *flags]
         environment = {**os.environ, BOOT: str(settings)}
         self._process = subprocess.Popen(command, stderr=subprocess.PIPE, text=True, env=environment)
         self._watchdog = threading.Timer(_WAIT_S, self._process.kill)
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -3,7 +3,7 @@
 import os
 import signal
 
-from processes import PROGRAMS, ProgramProcess, written_settings
+from processes import CLOUD, PROGRAMS, ProgramProcess, free_port, written_settings
 
 HANDLED = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
 WITHOUT_MEANING = (signal.SIGUSR1, signal.SIGUSR2)
@@ -104,3 +104,21 @@
                 process.send(number)
             assert process.read_until("Now stopping") and process.code() == 0
             assert any("SIGHUP while" in line for line in process.lines)
+
+
+def test_the_commands_of_the_product_take_signals_alike(tmp_path):
+    own, seeds = {}, [f"127.0.0.1:{free_port()}" for _ in range(3)]
+    for program, flag in (("transit", "--platform"), ("accord", "--data")):
+        place = ["--name", program, "--district", "d", "--address", seeds[0], "--http", f"127.0.0.1:{free_port()}"]
+        last = CLOUD if program == "transit" else str(tmp_path / "data")
+        flags = [*place, flag, last, *(part for seed in seeds for part in ("--seed", seed))]
+        with ProgramProcess(program, None, *flags) as process:
+            assert process.read_until("Now serving")
+            process.send(signal.SIGHUP)
+            assert process.read_until("SIGHUP while serving")
+            process.send(signal.SIGINT)
+            assert process.read_until("Now stopping")
+            for number in HANDLED:
+                process.send(number)
+            own[program] = (process.read_until("Now ending"), process.code())
+    assert own == {"transit": (True, 0), "accord": (True, 0)}
