--- a/src/finchswitch/days/shapes.py
+++ b/src/finchswitch/days/shapes.py
@@ -8,6 +8,7 @@
 from finchswitch.days.day import Closing, Day, Trouble, Value
 from finchswitch.days.fields import CHANGE_KINDS, draw_trouble
 from finchswitch.days.kinds import Kind
+from finchswitch.days.planned import draw_planned_work
 from finchswitch.days.recovery import draw_recovery_closing, draw_recovery_troubles
 
 __all__ = ["Shape", "draw_days"]
@@ -23,6 +24,7 @@
     LOSSES = "losses"
     CROWDED = "crowded"
     RECOVERY = "recovery"
+    PLANNED = "planned"
     ALL = "all"
 
 
@@ -70,7 +72,7 @@
     if not any(each.kind in CHANGE_KINDS for each in troubles):
         troubles.append(Trouble(3.0, "config_storm", dict(_STEADY_CHANGES)))
     fitting = tuple(each for each in troubles if each.at_s < length_s)
-    closing = draw_recovery_closing(rng) if shape is Shape.RECOVERY else _draw_closing(rng)
+    closing = _draw_closing_of(rng, shape)
     return Day(name, rng.getrandbits(_SEED_BITS), length_s, fitting, closing)
 
 
@@ -96,6 +98,8 @@
             return _losses(rng, control, length_s)
         case Shape.RECOVERY:
             return draw_recovery_troubles(rng, kinds, length_s)
+        case Shape.PLANNED:
+            return draw_planned_work(rng, kinds, length_s)
         case Shape.CROWDED:
             return _crowded(rng, kinds, control, length_s)
         case _:
@@ -165,6 +169,12 @@
     return troubles
 
 
+def _draw_closing_of(rng: random.Random, shape: Shape) -> Closing | None:
+    if shape is Shape.PLANNED:
+        return None  # a fault would excuse what was cut before it
+    return draw_recovery_closing(rng) if shape is Shape.RECOVERY else _draw_closing(rng)
+
+
 def _draw_closing(rng: random.Random) -> Closing | None:
     if rng.random() < _NO_CLOSING_CHANCE:
         return None
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -29,6 +29,8 @@
 
 these may come too:
 node_kill: share (.1) of the machines: SIGKILL; how: power (dark for for_s)
+roll_term: share (1) get SIGTERM, x (1) at a time, each gap_s, and start again; how: remove (they leave)
+hup: share (.3) get SIGHUP, over gap_s
 lent_address: share (.15) end for good (how: drain, they drain; dark, they fall silent); others use their addresses
 """
 KINDS = read_kinds(LIST)
@@ -38,7 +40,7 @@
 
 def test_both_groups_of_kinds_are_read_and_the_preamble_is_not():
     assert [each.name for each in KINDS if each.usual] == ["surge", "srv_dull", "core_cut", "config_storm", "herd_kill"]
-    assert [each.name for each in KINDS if not each.usual] == ["node_kill", "lent_address"]
+    assert [each.name for each in KINDS if not each.usual] == ["node_kill", "roll_term", "hup", "lent_address"]
 
 
 def test_variants_are_read_without_their_explanations():
@@ -158,3 +160,11 @@
     kinds.write_text("nothing here\n")
     done = CliRunner().invoke(app, ["days", str(kinds), "--out", str(tmp_path / "out")])
     assert done.exit_code == 2
+
+
+def test_a_planned_day_holds_no_fault_and_signals_beside_its_restarts():
+    for day in draw_days(KINDS, Shape.PLANNED, seed=1, count=DRAWS):
+        named = [each.kind for each in day.troubles]
+        assert day.closing is None and set(named) <= {"roll_term", "hup", "config_storm"}
+        assert named.count("roll_term") >= 2 and named.count("hup") >= 5
+        assert "faults = [\n]" in write_day(day)
