The soak stands in the adapter, as it speaks the platform's words; its command comes by an entry point

The command line now takes the commands of the group finchswitch.commands, so that it imports no adapter. Long tests are dealt out one to a worker.

--- a/src/finchswitch/soak/checks.py
+++ b/src/finchswitch/platform/soak/checks.py
@@ -6,12 +6,12 @@
 from enum import Enum
 from typing import Any
 
+from finchswitch.platform.soak.clients import Outcome, Request
+from finchswitch.platform.soak.fleet import SoakFleet
+from finchswitch.platform.soak.machines import Life, Machine
+from finchswitch.platform.soak.plan import Mix
 from finchswitch.platform.stand_in_checks import Seen, judge
 from finchswitch.platform.stand_in_documents import SERVICE
-from finchswitch.soak.clients import Outcome, Request
-from finchswitch.soak.fleet import SoakFleet
-from finchswitch.soak.machines import Life, Machine
-from finchswitch.soak.plan import Mix
 
 __all__ = ["Excuse", "breaches_of", "excuses", "not_in_force"]
 
--- a/src/finchswitch/soak/clients.py
+++ b/src/finchswitch/platform/soak/clients.py
@@ -14,10 +14,10 @@
 import h11
 from anyio.abc import ByteStream
 
+from finchswitch.platform.soak.plan import EVENTS_OF_ANSWERS
 from finchswitch.platform.stand_in import time_ms
 from finchswitch.platform.stand_in_clients import Asked, read_events, request_head
 from finchswitch.platform.stand_in_settings import FRONT_PORT
-from finchswitch.soak.plan import EVENTS_OF_ANSWERS
 
 __all__ = ["Caller", "Outcome", "Request"]
 
--- a/src/finchswitch/soak/command.py
+++ b/src/finchswitch/platform/soak/command.py
@@ -6,7 +6,7 @@
 
 import typer
 
-from finchswitch.soak.plan import Mix, Plan
+from finchswitch.platform.soak.plan import Mix, Plan
 
 __all__ = ["soak"]
 
@@ -27,7 +27,7 @@
     The processes run on 127.x addresses of this machine, one machine's address each, with stand-in runners. Exit code
     1 when anything was broken; the folder then holds the logs of the processes and what came when.
     """
-    from finchswitch.soak.run import run_soak
+    from finchswitch.platform.soak.run import run_soak
 
     root = keep or Path(tempfile.mkdtemp(prefix="finchswitch-soak-"))
     first, _, last = seeds.partition("-")
--- a/src/finchswitch/soak/fleet.py
+++ b/src/finchswitch/platform/soak/fleet.py
@@ -11,14 +11,14 @@
 from anyio.abc import TaskGroup
 
 from finchswitch.errors import ErrorKind, FleetError
+from finchswitch.platform.soak.clients import Request
+from finchswitch.platform.soak.machines import Life, Machine
+from finchswitch.platform.soak.plan import EVENT_MS, Plan
 from finchswitch.platform.stand_in import StandInInstance, time_ms
 from finchswitch.platform.stand_in_clients import Gate, Sent, send_change
 from finchswitch.platform.stand_in_documents import SERVICE
 from finchswitch.platform.stand_in_list import StandInList
 from finchswitch.platform.stand_in_settings import FRONT_PORT, Place
-from finchswitch.soak.clients import Request
-from finchswitch.soak.machines import Life, Machine
-from finchswitch.soak.plan import EVENT_MS, Plan
 from finchswitch.transport.real import RealWorld
 
 __all__ = ["SoakFleet"]
--- a/src/finchswitch/soak/run.py
+++ b/src/finchswitch/platform/soak/run.py
@@ -10,15 +10,15 @@
 import anyio
 import httpx
 
+from finchswitch.platform.soak.checks import breaches_of, excuses, not_in_force
+from finchswitch.platform.soak.clients import Caller, Outcome, Request
+from finchswitch.platform.soak.fleet import SoakFleet, take_net
+from finchswitch.platform.soak.plan import Plan
+from finchswitch.platform.soak.troubles import bring_troubles
 from finchswitch.platform.stand_in import time_ms
 from finchswitch.platform.stand_in_clients import ask
 from finchswitch.platform.stand_in_documents import DOCUMENT, RESUMED, UNSAFE
 from finchswitch.platform.stand_in_settings import FRONT_PORT
-from finchswitch.soak.checks import breaches_of, excuses, not_in_force
-from finchswitch.soak.clients import Caller, Outcome, Request
-from finchswitch.soak.fleet import SoakFleet, take_net
-from finchswitch.soak.plan import Plan
-from finchswitch.soak.troubles import bring_troubles
 
 __all__ = ["Report", "run_soak"]
 
--- a/src/finchswitch/soak/troubles.py
+++ b/src/finchswitch/platform/soak/troubles.py
@@ -3,12 +3,12 @@
 import signal
 from itertools import count
 
+from finchswitch.platform.soak.fleet import SoakFleet
+from finchswitch.platform.soak.machines import Machine
+from finchswitch.platform.soak.plan import Mix
 from finchswitch.platform.stand_in import time_ms
 from finchswitch.platform.stand_in_clients import Sent
 from finchswitch.platform.stand_in_documents import added
-from finchswitch.soak.fleet import SoakFleet
-from finchswitch.soak.machines import Machine
-from finchswitch.soak.plan import Mix
 
 __all__ = ["bring_troubles"]
 
--- a/src/finchswitch/programs/cli.py
+++ b/src/finchswitch/programs/cli.py
@@ -6,6 +6,7 @@
 
 import json
 from collections.abc import Callable, Coroutine
+from importlib.metadata import entry_points
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -19,7 +20,6 @@
 from finchswitch.logs import to_stderr
 from finchswitch.programs import operate, stand_ins
 from finchswitch.programs.startup import Startup, read_startup
-from finchswitch.soak.command import soak
 
 __all__ = ["app"]
 
@@ -243,8 +243,7 @@
     raise typer.Exit(run_tolerance(ToleranceTrial(loss, losses, count, disk_factor, seed=seed)))
 
 
-app.command()(soak)
-
-
 def main() -> None:
+    for found in entry_points(group="finchswitch.commands"):  # what an adapter adds
+        app.command(found.name)(found.load())
     app()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -31,12 +31,15 @@
     "test_a_planned_stop_waits_for_an_answer_of_over_a_minute",
     "test_full_size",
     "test_thousand_changes",
-    "test_soak",
+    "test_platform_soak",
 )
 
 
 def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
-    items.sort(key=lambda item: not any(name in item.nodeid for name in LONG))
+    long = [item for item in items if any(name in item.nodeid for name in LONG)]
+    short = [item for item in items if item not in long]
+    paired = [each for pair in zip(long, short, strict=False) for each in pair]  # workers begin with two tests each
+    items[:] = [*paired, *short[len(long) :]]
     known = read_known_red(KNOWN_RED_FILE)
     collected_whole = not config.invocation_params.args or str(config.invocation_params.args[0]).startswith("-")
     mark_known_red(items, known, must_exist=collected_whole)
--- a/tests/test_soak.py
+++ b/tests/test_platform_soak.py
@@ -1,7 +1,7 @@
 """A short soak with a fixed seed: real processes, signals in series, and callers that account for all requests."""
 
-from finchswitch.soak.plan import Mix, Plan
-from finchswitch.soak.run import run_soak
+from finchswitch.platform.soak.plan import Mix, Plan
+from finchswitch.platform.soak.run import run_soak
 
 
 def test_a_short_soak_breaks_nothing(tmp_path):
