--- a/src/finchswitch/programs/transit.py
+++ b/src/finchswitch/programs/transit.py
@@ -58,7 +58,8 @@
     """Unready first, then no seats, then the streams under way to their end, then the door and the leave."""
     began_ms, bounds = node.world.now_ms(), node.bounds
     node.stopping = True
-    await node.world.sleep(bounds.stop_settle_ms)
+    if node.has_granted:
+        await node.world.sleep(bounds.stop_settle_ms)
     node.member.stop()
     most_ms: float = node.configuration().settings.answer_most_ms + 2 * CALLER_STILL_MS
     if bounds.grace_ms is not None:
--- a/src/finchswitch/router/node.py
+++ b/src/finchswitch/router/node.py
@@ -125,6 +125,11 @@
         self._granted = self._granted or may
         return may
 
+    @property
+    def has_granted(self) -> bool:
+        """Whether this node ever might grant seats; until then nobody can have been handed to it as ready."""
+        return self._granted
+
     def ready(self) -> bool:
         """Whether callers may be handed to this node."""
         return self.may_grant() and not self.stopping and bool(self.roster.up())
