Review, case 5: after a calm of 75 s all routing nodes but one have no runner left

A node that hears that the list is unchanged renews its age and not when each runner was last listed, so after FORGET_MS it forgets them all.

--- a/review/stand/__init__.py
+++ b/review/stand/__init__.py
@@ -1,1 +1,1 @@
-"""Stand-ins shared by the cases: machines, runners, the platform's list, clients, the operator, a proxy."""
+"""Stand-ins shared by the cases: machines, runners, the platform's list, clients, the operator."""
--- a/review/stand/callers.py
+++ b/review/stand/callers.py
@@ -3,6 +3,7 @@
 import http.client
 import itertools
 import json
+import random
 import threading
 import time
 from collections.abc import Iterable
@@ -140,3 +141,30 @@
     terms = {"health_path": "/health", "max_connections": 370, "protocol": "h1", "engine": SERVICE_ENGINE}
     named = [{"name": each, **terms} for each in services]
     return {"revision": revision, "routes": routes, "services": named, "limits": LIMITS}
+
+
+class Front:
+    """The platform's address for clients of one zone: it gives each new connection to a node that is in.
+
+    A node is out after two looks without a 200, one a second, until the next 200. If fewer than half of the nodes are
+    in, all of them are used.
+    """
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._edges = fleet.edges()
+        self._misses = dict.fromkeys((each.name for each in self._edges), 0)
+        in_background(self._look, fleet)
+
+    def _look(self, fleet: Fleet) -> None:
+        while not fleet.over:
+            for each in self._edges:
+                self._misses[each.name] = 0 if is_ready(each) else self._misses[each.name] + 1
+            time.sleep(1.0)
+
+    @property
+    def ready(self) -> set[str]:
+        return {name for name, misses in self._misses.items() if misses < 2}
+
+    def pick(self, chance: random.Random) -> Machine:
+        fit = [each for each in self._edges if each.name in self.ready]
+        return chance.choice(fit if 2 * len(fit) >= len(self._edges) else self._edges)
