--- a/review/5/case.py
+++ b/review/5/case.py
@@ -58,7 +58,7 @@
         each.join()
     shares = [sum(each.status == 200 for each in asked) / len(asked) for asked in (early, late)]
     fleet.note(f"first route: {shares[0]:.3f} of {len(early)} served; late route: {shares[1]:.3f} of {len(late)}")
-    fleet.note(f"the platform finds ready: {sorted(front.ready)}; the list has had {len(platform.runners)} runners, sound")
+    fleet.note(f"the platform finds ready: {sorted(front.ready)}; listed as ready are {len(platform.runners)} runners")
     return 1 if shares[1] < shares[0] / 4 else 0
 
 
