Sight: figures and log lines that tell whether a group is spread over the zones

Now: finchswitch_group_districts{part} and finchswitch_districts on /metrics of a control node; the founding group and the gain and loss of a vote are logged at notice, the level of the users' platform. The simulator's control machines may stand in several zones, as its routing nodes do. A test reads the figures.

--- a/src/finchswitch/control/control_node.py
+++ b/src/finchswitch/control/control_node.py
@@ -78,6 +78,13 @@
             if store != self.store.store:
                 self.replicas.later(store, "vote.commit", body, ASK_WAIT_MS, back)
 
+    def district_of(self, store: str) -> str:
+        """Where a control node stands; empty for one that is not known any more."""
+        if store == self.store.store:
+            return str(self.startup.district)
+        control_peer = self.control_peers.by_store.get(store)
+        return control_peer.district if control_peer else ""
+
     def owner_of(self, part: str, now_ms: float) -> tuple[str, Ballot]:
         """The store that claims the part by the highest ballot, among those alive; empty when none does."""
         best: tuple[Ballot, str] = ((0, ""), "")
--- a/src/finchswitch/control/reconfiguration.py
+++ b/src/finchswitch/control/reconfiguration.py
@@ -99,16 +99,10 @@
             fit = [each for each in spares_of(control, [*group, *changed]) if self._unfit.get(each.store, 0) < now_ms]
             if not fit:
                 break
-            remaining = [self._district(each) for each in changed if each not in gone]
-            changed[changed.index(store)] = choose_spare(self._part, self._district(store), remaining, fit).store
+            remaining = [control.district_of(each) for each in changed if each not in gone]
+            changed[changed.index(store)] = choose_spare(self._part, control.district_of(store), remaining, fit).store
         return sorted(changed)
 
-    def _district(self, store: str) -> str:
-        if store == self._control.store.store:
-            return str(self._control.startup.district)
-        member = self._control.control_peers.by_store.get(store)
-        return member.district if member else ""
-
     async def _teach_first(self, document: Document, newcomer: str, gone: list[str]) -> bool:
         """Have a newcomer keep a snapshot before the change, where it replaces a member that still votes.
 
--- a/src/finchswitch/control/store.py
+++ b/src/finchswitch/control/store.py
@@ -125,7 +125,7 @@
                 acceptor.adopt(founding_document(fleet, part, founders))
         self._write(fleet, sorted(founders), self.proposal)
         self._state_machine.take(StoreEvent.FOUNDED)
-        _log.info("Founded fleet {} with {}.", fleet, ", ".join(self.founders))
+        _log.notice("Founded fleet {} with {}.", fleet, ", ".join(self.founders))
 
     def join(self, fleet: str, founders: list[str]) -> None:
         """Belong to a fleet that others founded, without a vote."""
@@ -145,7 +145,7 @@
         """Follow what the documents say of this store's vote."""
         if self.state is StoreState.SPARE and any(each.votes() for each in self.acceptors.values()):
             self._state_machine.take(StoreEvent.SWAPPED_IN)
-            _log.info("Store {} has a vote now.", self.store)
+            _log.notice("Store {} has a vote now.", self.store)
         elif self.state is StoreState.VOTING and not any(each.votes() for each in self.acceptors.values()):
             self._state_machine.take(StoreEvent.SWAPPED_OUT)
-            _log.info("Store {} has no vote any more.", self.store)
+            _log.notice("Store {} has no vote any more.", self.store)
--- a/src/finchswitch/simulation/cluster.py
+++ b/src/finchswitch/simulation/cluster.py
@@ -67,9 +67,8 @@
         self.changes = 0
         self.net.watched = RUNNER_PORT
         self._hosts = 0
-        cores = [f"accord{at}" for at in range(1, deployment.cores + 1)]
-        for name in cores:
-            self.cast(name, "accord", "core", f"10.0.9.{len(self.processes) + 1}")
+        for at, district in enumerate(deployment.core_districts or ["core"] * deployment.cores, 1):
+            self.cast(f"accord{at}", "accord", district, f"10.0.9.{at}")
         for at, district in enumerate(deployment.districts, 1):
             self.cast(f"transit{at}", "transit", district, f"10.0.1.{at}")
         self._seeds = [f"{process.host}:7100" for process in self.of_kind(deployment.seeds)[:3]]
--- a/src/finchswitch/simulation/deployments.py
+++ b/src/finchswitch/simulation/deployments.py
@@ -45,6 +45,7 @@
     spare: list[str] = field(default_factory=list)  # runners of the hall that is moved to
     seeds: str = "accord"  # which kind of process the seeds name
     bounds: Bounds = field(default_factory=Bounds)
+    core_districts: list[str] = field(default_factory=list)  # one entry a control machine; empty for one district
 
     def runner_names(self) -> list[str]:
         return [f"{self.name}-r{at}" for at in range(1, self.runners + 1)]
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -9,6 +9,9 @@
 from finchswitch.errors import FleetError
 from finchswitch.lifecycle import Lifecycle, Phase, PhaseEvent
 from finchswitch.metrics import exposition
+from finchswitch.simulation.core_losses import open_core
+from finchswitch.simulation.deployments import Deployment
+from finchswitch.simulation.play import play
 from finchswitch.simulation.scenes import open_up
 
 
@@ -43,6 +46,21 @@
     assert all(each["finchswitch_sessions", "standing"] == 4 for each in seen["controls"])
 
 
+def test_figures_tell_a_group_that_is_crowded_from_one_that_is_spread():
+    """Guards against a group that stands in fewer zones than it could, with nothing that shows it."""
+    districts = ["zone-a", "zone-a", "zone-b", "zone-b", "zone-c"]
+    seen = []
+
+    async def scene(cluster):
+        await open_core(cluster)
+        owners = [a.name for a in cluster.of_kind("accord") if a.control.proposers["creed"].owns()]
+        seen.append(await read_metrics(cluster, owners[0]))
+
+    play(scene, Deployment("core", [], 5, 1, 1, [], core_districts=districts), 1)
+    assert seen[0]["finchswitch_group_districts", "creed"] == 3
+    assert seen[0]["finchswitch_districts",] == 3
+
+
 def test_figures_tell_the_phase_and_the_signals_of_each_phase():
     lifecycle = Lifecycle("transit")
     lifecycle.move(PhaseEvent.OPENED)
