A group that is crowded into a zone is spread again as soon as the live machines allow

Cause: the spread of a group was looked at only when a member was chosen, at founding and for the successor of a member that was gone. What left two of three members in one zone stayed: a restart, crash, freeze or power loss of the only member of a zone, or a founding before all zones were up.

Ruled out: a wiped store that votes for the one before it (both wiped stores held no part).

Change: where a zone has two members more than a zone with a live spare, the owner gives the place of one to the spare, by the change in two commits that replaces members that are gone.

--- a/src/finchswitch/control/reconfiguration.py
+++ b/src/finchswitch/control/reconfiguration.py
@@ -1,4 +1,5 @@
-"""Reconfiguration: the owner of a part replaces members of its group that are gone by spare stores.
+"""Reconfiguration: the owner of a part replaces members of its group by spare stores, which are control nodes without
+a vote in it: members that are gone, and members that crowd one district while an emptier one has a spare.
 
 A change of a group takes two commits, as in joint consensus. The first names the new group beside the former one, and
 from then on a majority of each is needed. The second drops the former group; it is made only once every newcomer has
@@ -10,6 +11,7 @@
 
 from finchswitch.constants import ACCEPT_WAIT_MS, CONTROL_SILENT_MS, PREPARE_WAIT_MS
 from finchswitch.control.document import Document, succeed
+from finchswitch.control.placement import choose_crowded, choose_spare
 from finchswitch.errors import FleetError
 from finchswitch.logs import prefix
 from finchswitch.membership.control_peers import ControlPeer
@@ -17,7 +19,7 @@
 if TYPE_CHECKING:
     from finchswitch.control.control_node import ControlNode
 
-__all__ = ["Reconfigurer", "choose_spare", "spares_of"]
+__all__ = ["Reconfigurer", "spares_of"]
 
 _log = prefix("accord")
 
@@ -31,20 +33,6 @@
     ]
 
 
-def choose_spare(part: str, lost_district: str, districts: list[str], spares: list[ControlPeer]) -> ControlPeer:
-    """The spare that keeps the group spread over most districts, then one of the lost member's district, then the
-    one that holds the newest of the part. ``districts`` are those of the members that remain."""
-    return min(
-        spares,
-        key=lambda spare: (
-            districts.count(spare.district),
-            spare.district != lost_district,
-            -spare.generations.get(part, -1),
-            spare.store,
-        ),
-    )
-
-
 class Reconfigurer:
     """Changes one part's group while this node owns the part."""
 
@@ -55,7 +43,7 @@
         self._unfit: dict[str, float] = {}  # stores that did not take a place, and until when they are passed over
 
     async def step(self) -> None:
-        """Take the next step of a change, or begin one where a member is gone and a spare is there."""
+        """Take the next step of a change, or begin one where a spare should take a member's place."""
         document = self._proposer.document
         if document is None:
             return
@@ -64,20 +52,34 @@
         if document["former"] != document["group"]:
             await self._finish(document)
         else:
-            await self._replace_gone(document)
+            group = document["group"]
+            gone = [store for store in group if self._gone(store, group)]
+            if gone:
+                await self._replace(document, gone, "members are gone")
+            else:
+                await self._replace(document, self._crowded(group), "members crowd a district")
             await self._bring_up(document)
 
-    async def _replace_gone(self, document: Document) -> None:
+    async def _replace(self, document: Document, replaced: list[str], reason: str) -> None:
+        """Begin a change that gives the places of these members to spares, as far as there are spares."""
         group = document["group"]
-        gone = [store for store in group if self._gone(store, group)]
-        changed = self._replaced(group, gone)
+        changed = self._replaced(group, replaced)
         if changed == group:
             return
         for newcomer in set(changed) - set(group):
-            if not await self._teach_first(document, newcomer, gone):
+            if not await self._teach_first(document, newcomer, replaced):
                 return
         await self._commit(document, changed)
-        _log.warning("Group of {} changes from {} to {}.", self._part, ", ".join(group), ", ".join(changed))
+        names = (self._part, ", ".join(group), ", ".join(changed))
+        _log.warning("Group of {} changes from {} to {}: {}.", *names, reason)
+
+    def _crowded(self, group: list[str]) -> list[str]:
+        """Members whose places spares of emptier districts should have; none while a member is not in sight."""
+        control = self._control
+        if not {*group} <= {control.store.store, *(each.store for each in self._alive())}:
+            return []
+        districts = {store: control.district_of(store) for store in group}
+        return choose_crowded(districts, [each.district for each in self._fit(group)], staying=control.store.store)
 
     def _gone(self, store: str, group: list[str]) -> bool:
         """Whether a member is to be replaced: leaving, silent for long, or its machine is back with another store."""
@@ -91,27 +93,34 @@
         name = store.rpartition("-")[0]
         return silent_ms > control.bounds.replace_after_ms or any(s.name == name for s in spares_of(control, group))
 
-    def _replaced(self, group: list[str], gone: list[str]) -> list[str]:
-        """The group with spares in place of those gone, as far as there are spares."""
+    def _replaced(self, group: list[str], replaced: list[str]) -> list[str]:
+        """The group with spares in place of these members, as far as there are spares."""
         control, changed = self._control, list(group)
-        now_ms = control.world.now_ms()
-        for store in gone:
-            fit = [each for each in spares_of(control, [*group, *changed]) if self._unfit.get(each.store, 0) < now_ms]
+        for store in replaced:
+            fit = self._fit([*group, *changed])
             if not fit:
                 break
-            remaining = [control.district_of(each) for each in changed if each not in gone]
+            remaining = [control.district_of(each) for each in changed if each not in replaced]
             changed[changed.index(store)] = choose_spare(self._part, control.district_of(store), remaining, fit).store
         return sorted(changed)
 
-    async def _teach_first(self, document: Document, newcomer: str, gone: list[str]) -> bool:
+    def _fit(self, group: list[str]) -> list[ControlPeer]:
+        """Spares that may take a place now: those that lately failed to are passed over for a while."""
+        now_ms = self._control.world.now_ms()
+        return [each for each in spares_of(self._control, group) if self._unfit.get(each.store, 0) < now_ms]
+
+    def _alive(self) -> list[ControlPeer]:
+        return self._control.control_peers.alive(self._control.world.now_ms())
+
+    async def _teach_first(self, document: Document, newcomer: str, replaced: list[str]) -> bool:
         """Have a newcomer keep a snapshot before the change, where it replaces a member that still votes.
 
         A member that is lost leaves nothing to lose: its successor gets the document with the change itself, which
         spares one write of a slow disk.
         """
         now_ms = self._control.world.now_ms()
-        alive = {self._control.store.store, *(each.store for each in self._control.control_peers.alive(now_ms))}
-        if not alive & set(gone):
+        alive = {self._control.store.store, *(each.store for each in self._alive())}
+        if not alive & set(replaced):
             return True
         body = {"part": self._part, "ballot": self._proposer.ballot, "document": document}
         try:
@@ -144,7 +153,7 @@
         if self._proposer.document is not document or now_ms - self._since[1] < CONTROL_SILENT_MS:
             return
         self._since = (document, now_ms)
-        for member in self._control.control_peers.alive(now_ms):
+        for member in self._alive():
             if member.store in document["group"] and member.promised.get(self._part) != self._proposer.ballot:
                 await self._holds(document, member.store)
 
--- a/tests/test_reconfiguration.py
+++ b/tests/test_reconfiguration.py
@@ -4,7 +4,7 @@
 
 from finchswitch.bounds import Bounds
 from finchswitch.control.document import part_names
-from finchswitch.control.reconfiguration import choose_spare
+from finchswitch.control.placement import choose_spare
 from finchswitch.membership.control_peers import ControlPeer
 from finchswitch.simulation.core_losses import change_until, holds_after, open_core, until_full
 from finchswitch.simulation.deployments import Deployment
