A group is spread over regions where regions may be lost

Cause: the same class, on a related path. f was taken from the largest number of fault_tolerance, but a group was spread over zones whichever number that was.

Change: a control node tells its failure domain (its region where regions may be lost, else its zone), and founding, replacement and the restoring of the spread use that. A region holds its zones, so a group spread over regions bears the loss of a zone as well, up to f members.

tests/test_group_spread.py, the loss of a region's disks: 2 of 6 cases failed before with 'full tolerance only in []'.

--- a/src/finchswitch/bounds.py
+++ b/src/finchswitch/bounds.py
@@ -28,6 +28,7 @@
     """What a process is told of its deployment. Times are milliseconds, shares fractions of one."""
 
     tolerance: int = 1  # machines with a disk that may be lost at once; a part has 2f+1 acceptors
+    survives_regions: bool = False  # whole regions may be lost, so groups are spread over regions, not zones
     replace_after_ms: float = REPLACE_AFTER_MS  # a silent acceptor may then give its place to an empty store
     delivery_wait_ms: float = DELIVERY_WAIT_MS  # a change waits so long for every node's word before its answer
     owner_wait_ms: float = OWNER_WAIT_MS  # a change waits so long for an owner to be elected
--- a/src/finchswitch/control/control_node.py
+++ b/src/finchswitch/control/control_node.py
@@ -78,12 +78,12 @@
             if store != self.store.store:
                 self.replicas.later(store, "vote.commit", body, ASK_WAIT_MS, back)
 
-    def district_of(self, store: str) -> str:
-        """Where a control node stands; empty for one that is not known any more."""
+    def failure_domain_of(self, store: str) -> str:
+        """The zone or region that a control node would be lost with; empty for one that is not known any more."""
         if store == self.store.store:
-            return str(self.startup.district)
+            return str(self.startup.failure_domain)
         control_peer = self.control_peers.by_store.get(store)
-        return control_peer.district if control_peer else ""
+        return control_peer.failure_domain if control_peer else ""
 
     def owner_of(self, part: str, now_ms: float) -> tuple[str, Ballot]:
         """The store that claims the part by the highest ballot, among those alive; empty when none does."""
@@ -149,7 +149,7 @@
             "name": self.startup.name,
             "address": self.startup.address,
             "http": self.startup.http,
-            "district": self.startup.district,
+            "district": self.startup.failure_domain,
             "fleet": self.store.fleet,
             "founders": self.store.founders,
             "mayFound": self.store.may_found,
--- a/src/finchswitch/control/founding.py
+++ b/src/finchswitch/control/founding.py
@@ -115,12 +115,12 @@
 
 
 def _spread(control: "ControlNode", alive: list[ControlPeer]) -> list[str]:
-    """The founding group: this store, then one of each district in turn, seeds first."""
-    seeds, chosen, used = control.startup.seeds, [control.store.store], {control.startup.district: 1}
+    """The founding group: this store, then one of each failure domain in turn, seeds first."""
+    seeds, chosen, used = control.startup.seeds, [control.store.store], {control.startup.failure_domain: 1}
     rest = sorted(alive, key=lambda control_peer: (control_peer.address not in seeds, control_peer.address))
     while len(chosen) < control.group_size:
-        following = min(rest, key=lambda control_peer: used.get(control_peer.district, 0))
+        following = min(rest, key=lambda control_peer: used.get(control_peer.failure_domain, 0))
         rest.remove(following)
         chosen.append(following.store)
-        used[following.district] = used.get(following.district, 0) + 1
+        used[following.failure_domain] = used.get(following.failure_domain, 0) + 1
     return chosen
--- a/src/finchswitch/control/reconfiguration.py
+++ b/src/finchswitch/control/reconfiguration.py
@@ -1,5 +1,5 @@
 """Reconfiguration: the owner of a part replaces members of its group by spare stores, which are control nodes without
-a vote in it: members that are gone, and members that crowd one district while an emptier one has a spare.
+a vote in it: members that are gone, and members that crowd one failure domain while an emptier one has a spare.
 
 A change of a group takes two commits, as in joint consensus. The first names the new group beside the former one, and
 from then on a majority of each is needed. The second drops the former group; it is made only once every newcomer has
@@ -57,7 +57,7 @@
             if gone:
                 await self._replace(document, gone, "members are gone")
             else:
-                await self._replace(document, self._crowded(group), "members crowd a district")
+                await self._replace(document, self._crowded(group), "members crowd a zone or region")
             await self._bring_up(document)
 
     async def _replace(self, document: Document, replaced: list[str], reason: str) -> None:
@@ -74,12 +74,12 @@
         _log.warning("Group of {} changes from {} to {}: {}.", *names, reason)
 
     def _crowded(self, group: list[str]) -> list[str]:
-        """Members whose places spares of emptier districts should have; none while a member is not in sight."""
+        """Members whose places spares of emptier failure domains should have; none while a member is not in sight."""
         control = self._control
         if not {*group} <= {control.store.store, *(each.store for each in self._alive())}:
             return []
-        districts = {store: control.district_of(store) for store in group}
-        return choose_crowded(districts, [each.district for each in self._fit(group)], staying=control.store.store)
+        domains = {store: control.failure_domain_of(store) for store in group}
+        return choose_crowded(domains, [each.failure_domain for each in self._fit(group)], staying=control.store.store)
 
     def _gone(self, store: str, group: list[str]) -> bool:
         """Whether a member is to be replaced: leaving, silent for long, or its machine is back with another store."""
@@ -100,8 +100,9 @@
             fit = self._fit([*group, *changed])
             if not fit:
                 break
-            remaining = [control.district_of(each) for each in changed if each not in replaced]
-            changed[changed.index(store)] = choose_spare(self._part, control.district_of(store), remaining, fit).store
+            domain = control.failure_domain_of(store)
+            remaining = [control.failure_domain_of(each) for each in changed if each not in replaced]
+            changed[changed.index(store)] = choose_spare(self._part, domain, remaining, fit).store
         return sorted(changed)
 
     def _fit(self, group: list[str]) -> list[ControlPeer]:
--- a/src/finchswitch/membership/control_peers.py
+++ b/src/finchswitch/membership/control_peers.py
@@ -31,7 +31,7 @@
     promised: dict[str, Ballot]
     generations: dict[str, int]
     sessions: list[Message]
-    district: str = ""
+    failure_domain: str = ""  # its zone, or its region where regions may be lost
     may_found: bool = False
     proposal: list[str] = field(default_factory=list)
     digest: Message = field(default_factory=dict)
@@ -57,7 +57,7 @@
             promised={part: read_ballot(ballot) for part, ballot in promised.items()},
             generations=read(body, "generations", dict, peer),
             sessions=read(body, "sessions", list, peer),
-            district=str(body.get("district", "")),
+            failure_domain=str(body.get("district", "")),
             may_found=body.get("mayFound") is True,
             proposal=[str(store) for store in body.get("proposal", [])],
             digest=body.get("digest", {}),
--- a/src/finchswitch/platform/settings.py
+++ b/src/finchswitch/platform/settings.py
@@ -103,6 +103,7 @@
         address=address,
         http=reader.address("listen_addresses", _FACES[program]),
         district=reader.text("zone"),
+        region=str(reader.get("region") or ""),
         seeds=[f"{str(seed).rpartition(':')[0]}:{port}" for seed in seeds],
         platform=reader.address("cloud_api", "address") if program == "transit" else "",
         data=reader.text("data_directory") if program == "accord" else "",
@@ -121,6 +122,7 @@
     tolerance = max(int(reader.number("fault_tolerance", each)) for each in ("machines", "zones", "regions"))
     return Bounds(
         tolerance=tolerance,
+        survives_regions=reader.number("fault_tolerance", "regions") > 0,
         replace_after_ms=min(REPLACE_AFTER_MS, 0.35 * 1000 * bound("catch_up_s")),
         delivery_wait_ms=min(DELIVERY_WAIT_MS, 0.15 * ack_ms),
         owner_wait_ms=min(OWNER_WAIT_MS, 0.25 * ack_ms),
--- a/src/finchswitch/programs/startup.py
+++ b/src/finchswitch/programs/startup.py
@@ -22,19 +22,25 @@
 
 @dataclass(frozen=True)
 class Startup:
-    """Where a process stands: its addresses, its district, and three seeds."""
+    """Where a process stands: its addresses, its district and region, and three seeds."""
 
     name: str
     address: str
     http: str
     district: str
     seeds: list[str]
+    region: str = ""  # the district's; empty where it is not told
     platform: str = ""
     data: str = ""
     log: str = "info"
     log_form: str = "text"
     bounds: Bounds = field(default_factory=Bounds)
 
+    @property
+    def failure_domain(self) -> str:
+        """What is lost as a whole, this process with it: the region where regions may be lost, or else the district."""
+        return self.region if self.bounds.survives_regions and self.region else self.district
+
 
 def read_startup(program: str, file: Path | None, flags: dict[str, Any]) -> Result[Startup, list[str]]:
     """Settings of a program, or every fault in them.
--- a/src/finchswitch/simulation/cluster.py
+++ b/src/finchswitch/simulation/cluster.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 from typing import Any
 
@@ -126,7 +126,9 @@
     def _startup(self, process: Process) -> Startup:
         place = (f"{process.host}:7100", f"{process.host}:8000", process.district)
         bounds = self.deployment.bounds
-        return Startup(process.name, *place, self._seeds, platform="10.0.0.2:8001", data="memory", bounds=bounds)
+        region, _, _ = process.district.rpartition("/")
+        startup = Startup(process.name, *place, self._seeds, platform="10.0.0.2:8001", data="memory", bounds=bounds)
+        return replace(startup, region=region)
 
     async def _run_accord(self, process: Process, group: TaskGroup) -> None:
         world = self._world(process.host)
--- a/tests/test_group_spread.py
+++ b/tests/test_group_spread.py
@@ -1,5 +1,7 @@
 """Each part's group spans the zones: whatever crowded it into one, live members of empty zones take places again."""
 
+from dataclasses import replace
+
 import pytest
 
 from finchswitch.bounds import Bounds
@@ -23,10 +25,21 @@
     bounds=Bounds(tolerance=2, replace_after_ms=0.35 * CATCH_UP_MS, grace_ms=7_200.0),
     core_districts=["zone-a", "zone-a", "zone-a", "zone-b", "zone-b", "zone-c", "zone-d"],
 )
+FOUR_IN_THREE_REGIONS = Deployment(
+    "core",
+    [],
+    4,
+    1,
+    1,
+    [],
+    bounds=replace(BOUNDS, survives_regions=True),
+    core_districts=["north/zone-a", "north/zone-b", "south/zone-c", "west/zone-d"],
+)
 
 
 def in_zone(cluster, zone):
-    return [process.name for process in cluster.of_kind("accord") if process.district == zone]
+    """The control machines of a zone, or of a region: zones are named ``region/zone`` where there are several."""
+    return [process.name for process in cluster.of_kind("accord") if process.district.startswith(zone)]
 
 
 def member_zones(cluster):
@@ -127,6 +140,24 @@
     play(scene, SEVEN_IN_FOUR_ZONES, 1)
 
 
+@pytest.mark.parametrize("region", ["north", "south", "west"])
+@pytest.mark.parametrize("restarted", [None, "accord3"])
+def test_the_loss_of_a_regions_disks_loses_nothing_acknowledged(restarted, region):
+    """Guards against LOST where a whole region may be lost: members in two zones of one region are no spread."""
+
+    async def scene(cluster):
+        await open_core(cluster)
+        if restarted:
+            await cluster.stop_softly(restarted)
+            await cluster.outside.sleep(300)
+            cluster.start(restarted)
+        await cluster.outside.sleep(CATCH_UP_MS)
+        await lose_disks(cluster, region)
+        assert await holds_after(cluster) == ""
+
+    play(scene, FOUR_IN_THREE_REGIONS, 1)
+
+
 def test_a_group_that_is_spread_is_left_alone():
     """Guards against members that change places without end, each change costing two commits."""
 
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -57,8 +57,8 @@
         seen.append(await read_metrics(cluster, owners[0]))
 
     play(scene, Deployment("core", [], 5, 1, 1, [], core_districts=districts), 1)
-    assert seen[0]["finchswitch_group_districts", "creed"] == 3
-    assert seen[0]["finchswitch_districts",] == 3
+    assert seen[0]["finchswitch_group_domains", "creed"] == 3
+    assert seen[0]["finchswitch_domains",] == 3
 
 
 def test_figures_tell_the_phase_and_the_signals_of_each_phase():
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -194,3 +194,11 @@
         "cloud_api.address: localhost is not an IP number",
         "zone: missing",
     ]
+
+
+@pytest.mark.parametrize("regions, domain", [(0, "north-a"), (1, "north")])
+def test_a_failure_domain_is_a_region_only_where_regions_may_be_lost(tmp_path, regions, domain):
+    file = tmp_path / "local.yaml"
+    file.write_text(yaml.safe_dump(with_value(regions, "fault_tolerance", "regions")))
+    startup, _ = read_settings("accord", str(file)).unwrap()
+    assert (startup.district, startup.failure_domain) == ("north-a", domain)
--- a/tests/test_reconfiguration.py
+++ b/tests/test_reconfiguration.py
@@ -113,11 +113,13 @@
     play(scene, CORE, 1)
 
 
-def peer(store, district, generation):
+def peer(store, zone, generation):
     names = ("name", "address", "http", "fleet")
     empty = {"founders": [], "sees": [], "owns": {}, "promised": {}, "sessions": []}
     generations = {"creed": generation}
-    return ControlPeer(store=store, **dict.fromkeys(names, store), **empty, generations=generations, district=district)
+    return ControlPeer(
+        store=store, **dict.fromkeys(names, store), **empty, generations=generations, failure_domain=zone
+    )
 
 
 @pytest.mark.parametrize(
