--- a/src/finchswitch/router/figures.py
+++ b/src/finchswitch/router/figures.py
@@ -20,6 +20,7 @@
         Figure("finchswitch_news_asks", "Asks for news by their end.", dict(follower.ends), "end"),
         Figure.single("finchswitch_control_age_ms", "Since a control node was current.", node.member.control_age_ms()),
         Figure.single("finchswitch_list_age_ms", "Age of the list of runners.", node.roster.list_age_ms()),
+        Figure.single("finchswitch_runners_listed", "Runners in the list as held.", float(node.roster.listed())),
         Figure.single("finchswitch_runners_up", "Runners that may be sent to.", float(len(node.roster.up()))),
         Figure("finchswitch_calls", "Requests by what became of them.", _floats(node.vitals), "outcome"),
         Figure("finchswitch_refusals", "Requests refused here, by reason.", _floats(node.refusals), "reason"),
--- a/src/finchswitch/router/roster.py
+++ b/src/finchswitch/router/roster.py
@@ -190,6 +190,10 @@
             each.incarnation for each in self.known.values() if each.state_machine.state is RunnerState.LEAVING
         )
 
+    def listed(self) -> int:
+        """How many runners the list as held shows, whether they are known here or not."""
+        return len(self._rows)
+
     def list_age_ms(self) -> float:
         return min(self._world.now_ms() - self._read_ms, 1e9)
 
@@ -222,6 +226,7 @@
     async def forget(self, incarnation: str) -> None:
         """Drop an incarnation and its connections; that it was leaving stays known."""
         known = self.known.pop(incarnation)
+        _log.notice("Runner {}/{} is forgotten.", known.runner, known.incarnation)
         if known.state_machine.state is RunnerState.LEAVING:
             self._leaving_told.add(incarnation)
         await known.transport.aclose()
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -37,6 +37,7 @@
     before, after = seen["before"], seen["after"]
     assert before["finchswitch_ready",] == 1
     assert before["finchswitch_runners_up",] == 4  # its three, and the spare
+    assert before["finchswitch_runners_listed",] == 4
     assert before["finchswitch_calls", "complete"] > 0
     assert before["finchswitch_control_age_ms",] < 1_500
     assert after["finchswitch_generation", "creed"] == before["finchswitch_generation", "creed"] + 1
