--- a/src/finchswitch/platform/calls.py
+++ b/src/finchswitch/platform/calls.py
@@ -20,9 +20,9 @@
 from finchswitch.errors import ErrorKind, FleetError
 from finchswitch.platform.events import EventError, events_of
 from finchswitch.router.dialect import AttemptError, Call, Fate, Head, Headers, Piece, Refusal, header_values
+from finchswitch.router.known_runner import Known
 from finchswitch.router.prompt import read_body
 from finchswitch.router.proof import Ticket
-from finchswitch.router.roster import Known
 
 if TYPE_CHECKING:
     from finchswitch.router.node import Node
--- a/src/finchswitch/router/attempt.py
+++ b/src/finchswitch/router/attempt.py
@@ -13,8 +13,8 @@
 
 from finchswitch.constants import DIAL_WAIT_MS, FIRST_WAIT_SHARE, PROOF_WAIT_MS, RUNNER_SILENT_MS
 from finchswitch.router.dialect import AttemptError, Call, Dialect, Fate, Head, Piece
+from finchswitch.router.known_runner import Known
 from finchswitch.router.proof import TICKET, Ticket
-from finchswitch.router.roster import Known
 
 if TYPE_CHECKING:
     from finchswitch.router.node import Node
--- a/src/finchswitch/router/dialect.py
+++ b/src/finchswitch/router/dialect.py
@@ -16,9 +16,9 @@
 from finchswitch.errors import ErrorKind, FleetError
 
 if TYPE_CHECKING:
+    from finchswitch.router.known_runner import Known
     from finchswitch.router.node import Node
     from finchswitch.router.proof import Ticket
-    from finchswitch.router.roster import Known
 
 __all__ = ["AttemptError", "Call", "Dialect", "Fate", "Head", "Headers", "Piece", "Refusal", "header_values"]
 
--- a/src/finchswitch/router/own.py
+++ b/src/finchswitch/router/own.py
@@ -17,9 +17,9 @@
 from finchswitch.constants import ASK_WAIT_MS, PIECE_DIGITS_MOST
 from finchswitch.errors import ErrorKind, FleetError
 from finchswitch.router.dialect import AttemptError, Call, Fate, Head, Headers, Piece, Refusal, header_values
+from finchswitch.router.known_runner import Known
 from finchswitch.router.prompt import read_prompt
 from finchswitch.router.proof import Ticket
-from finchswitch.router.roster import Known
 
 if TYPE_CHECKING:
     from finchswitch.router.node import Node
--- a/src/finchswitch/router/roster.py
+++ b/src/finchswitch/router/roster.py
@@ -10,69 +10,27 @@
 import json
 from collections.abc import Callable
 from dataclasses import astuple
-from enum import Enum
 from typing import Any
 
-import httpx
-
 from finchswitch.bounds import Bounds
 from finchswitch.constants import (
     DOWN_MS,
     FORGET_MS,
     LIST_WAIT_MS,
-    PROOF_WAIT_MS,
-    RUNNER_SILENT_MS,
     SUSPECT_MS,
 )
 from finchswitch.errors import FleetError
 from finchswitch.logs import prefix
+from finchswitch.router.known_runner import Known, RunnerEvent, RunnerState
 from finchswitch.router.platform import Listed, Lister
-from finchswitch.router.proof import Permit, PermitOnly, RunnerProof
-from finchswitch.state_machines import StateMachine, load_transitions
+from finchswitch.router.proof import Permit
 from finchswitch.transport import Message, World, reading
 
-__all__ = ["Known", "Roster", "RunnerState"]
+__all__ = ["Roster"]
 
 _log = prefix("runners")
 
 
-class RunnerState(Enum):
-    UNLISTED = "unlisted"
-    UP = "up"
-    LEAVING = "leaving"
-
-
-class RunnerEvent(Enum):
-    LISTED = "listed"
-    LEAVES = "leaves"
-    VANISHED = "vanished"
-
-
-_TRANSITIONS = load_transitions("runner", RunnerState, RunnerEvent)
-
-
-class Known:
-    """One incarnation of a runner."""
-
-    def __init__(self, listed: Listed, world: World, permit: Permit, kept: bool) -> None:
-        self.listed = listed
-        self.runner, self.incarnation, self.address = listed.runner, listed.incarnation, listed.address
-        self.state_machine = StateMachine(_TRANSITIONS, f"{listed.runner}/{listed.incarnation}")
-        self.down_until_ms = 0.0
-        self.listed_ms = world.now_ms()
-        self.heard_ms = -1e18  # when anything last came of it
-        self.failures = 0  # tries in a row that ended without an answer of its own
-        proof = RunnerProof(listed.runner, listed.incarnation, permit)
-        gate = PermitOnly(listed.incarnation, permit) if kept else proof
-        self.transport = world.http_transport(gate, fresh=not kept)
-        timeout = httpx.Timeout(RUNNER_SILENT_MS / 1000, connect=PROOF_WAIT_MS / 1000)
-        reader = world.http_transport(None if kept else proof)  # of vitals only
-        self.reader = httpx.AsyncClient(transport=reader, timeout=timeout, trust_env=False)
-
-    def heard(self, now_ms: float) -> None:
-        self.heard_ms, self.failures = now_ms, 0
-
-
 class Roster:
     def __init__(self, world: World, lister: Lister, permit: Permit, bounds: Bounds, kept: bool = False) -> None:
         self._world, self._lister, self._permit, self._bounds, self._kept = world, lister, permit, bounds, kept
--- a/src/finchswitch/router/watch.py
+++ b/src/finchswitch/router/watch.py
@@ -17,7 +17,7 @@
 
 from finchswitch.constants import SILENCE_LEAST_MS, SILENCE_SHARE, WATCH_MS
 from finchswitch.router.dialect import AttemptError, Call, Fate, Head, Piece
-from finchswitch.router.roster import Known
+from finchswitch.router.known_runner import Known
 
 if TYPE_CHECKING:
     from finchswitch.router.node import Node
--- a/src/finchswitch/simulation/scripted_runner.py
+++ b/src/finchswitch/simulation/scripted_runner.py
@@ -16,9 +16,9 @@
 from finchswitch.affinity import Opening
 from finchswitch.router.attempt import answer_of
 from finchswitch.router.dialect import AttemptError, Call, Dialect, Fate, Head
+from finchswitch.router.known_runner import Known
 from finchswitch.router.platform import Listed
 from finchswitch.router.proof import Ticket
-from finchswitch.router.roster import Known
 from finchswitch.simulation.machine import Machine
 from finchswitch.simulation.network import Net, SimStream
 from finchswitch.simulation.world import SimWorld
