A runner that the list shows is never forgotten, however long the list is unchanged or unreadable

Cause: a runner was forgotten 60 s after the list was last taken in. Nodes that are told that the list is unchanged renew its age and take nothing in, so their runners aged while the list stayed fresh; and as the digests were the same and the list fresh, nobody sent or read it again.

Evidence: in virtual time the rosters of all nodes but the reader's are empty after 100 s beside a full list. Ruled out: a list that is lost or old (then they would read it), and runners taken for down (that lasts 2 s at most).

Change: the time until a runner is forgotten runs from the first reading that lacks it. It works because the list as held and the runners known now change by the same readings only. The same line took all runners from the reader too when the list could not be read for a minute; and a runner that came back while others were being forgotten was forgotten by an outdated word.

--- a/src/finchswitch/router/known_runner.py
+++ b/src/finchswitch/router/known_runner.py
@@ -36,7 +36,7 @@
         self.runner, self.incarnation, self.address = listed.runner, listed.incarnation, listed.address
         self.state_machine = StateMachine(_TRANSITIONS, f"{listed.runner}/{listed.incarnation}")
         self.down_until_ms = 0.0
-        self.listed_ms = world.now_ms()
+        self.unlisted_since_ms: float | None = None  # when a reading first lacked it; None while the list shows it
         self.heard_ms = -1e18  # when anything last came of it
         self.failures = 0  # tries in a row that ended without an answer of its own
         proof = RunnerProof(listed.runner, listed.incarnation, permit)
--- a/src/finchswitch/router/node.py
+++ b/src/finchswitch/router/node.py
@@ -230,8 +230,8 @@
         """Forget incarnations that are long unlisted and carry nothing of ours."""
         while True:
             await self.world.sleep(FORGET_MS / 4)
-            for incarnation in self.roster.long_gone():
-                if not self.burdens.busy(incarnation):
+            for incarnation in list(self.roster.known):
+                if self.roster.is_long_gone(incarnation) and not self.burdens.busy(incarnation):
                     self.burdens.forget(incarnation)
                     self.beliefs.forget(incarnation)
                     await self.roster.forget(incarnation)
--- a/src/finchswitch/router/roster.py
+++ b/src/finchswitch/router/roster.py
@@ -89,12 +89,14 @@
             if known is None or known.address != each.address:
                 known = self.known[each.incarnation] = Known(each, self._world, self._permit, self._kept)
                 _log.info("Runner {}/{} is listed at {}.", each.runner, each.incarnation, each.address)
-            known.listed_ms = self._world.now_ms()
+            known.unlisted_since_ms = None
             leaves = each.leaving or each.incarnation in self._leaving_told
             self._move(known, RunnerEvent.LEAVES if leaves else RunnerEvent.LISTED)
         for incarnation, known in self.known.items():
             if incarnation not in here:
                 self._move(known, RunnerEvent.VANISHED)
+                if known.unlisted_since_ms is None:
+                    known.unlisted_since_ms = self._world.now_ms()
 
     def _move(self, known: Known, event: RunnerEvent) -> None:
         before = known.state_machine.state
@@ -176,10 +178,13 @@
             {k.runner for k in self.known.values() if k.listed.service == service and k.state_machine.state in listed}
         )
 
-    def long_gone(self) -> list[str]:
-        """Incarnations that the list has not shown for long."""
-        now_ms = self._world.now_ms()
-        return [inc for inc, known in self.known.items() if now_ms - known.listed_ms > FORGET_MS]
+    def is_long_gone(self, incarnation: str) -> bool:
+        """Whether the list as held lacks it and has done so for long. One that the list shows is never gone, however
+        long ago that was read: an unchanged list renews its age alone, and one that cannot be read tells nothing."""
+        known = self.known.get(incarnation)
+        if known is None or known.unlisted_since_ms is None:
+            return False
+        return self._world.now_ms() - known.unlisted_since_ms > FORGET_MS
 
     async def forget(self, incarnation: str) -> None:
         """Drop an incarnation and its connections; that it was leaving stays known."""
