--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -13,6 +13,7 @@
 import finchswitch.router.call
 import finchswitch.router.dialect
 import finchswitch.router.duties
+import finchswitch.router.known_runner
 import finchswitch.router.own
 import finchswitch.router.proof
 import finchswitch.router.roster
@@ -130,7 +131,7 @@
 
 def without_sticky_leaving(patch):
     chart, states, events = (
-        getattr(finchswitch.router.roster, name) for name in ("_TRANSITIONS", "RunnerState", "RunnerEvent")
+        getattr(finchswitch.router.known_runner, name) for name in ("_TRANSITIONS", "RunnerState", "RunnerEvent")
     )
     patch.setitem(chart.moves, (states.LEAVING, events.LISTED), states.UP)
     patch.setattr(finchswitch.router.roster.Roster, "hear_leaving", lambda self, leaving: None)
