--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -47,4 +47,4 @@
 
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
     for each in read_known_red(KNOWN_RED_FILE):
-        terminalreporter.write_line(f"KNOWN RED, not run: {each.test} | {each.cause} | {each.issue}")
+        terminalreporter.write_line(f"KNOWN RED, not run: {each.line()}")
