--- a/review/rig/traffic.py
+++ b/review/rig/traffic.py
@@ -36,11 +36,21 @@
     active: int = 0
     _made: int = 0
     _server: asyncio.Server | None = None
+    _writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
     async def serve(self, host: str) -> None:
         self._server = await asyncio.start_server(self._connection, host, RUNNER)
 
+    def crash(self) -> None:
+        """End as a process does that is killed: nothing listens any more, and all connections are closed."""
+        self.record(f"{self.name} crashes with {self.active} requests")
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
     async def _connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -50,6 +60,7 @@
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _answer(
